--- /dev/null
+++ b/crates/cli/src/apply.rs
@@ -0,0 +1,202 @@
+//! Applying a deployment as a whole.
+//!
+//! The files are stored first, under their digests. One conditional update of
+//! the manifest then makes all of them the configuration, or none.
+
+use std::collections::BTreeMap;
+
+use bulrushhoist_core::{Manifest, ObjectKey, Revision, SourceFile, check_files};
+use bulrushhoist_platform::{PlatformError, Store, StoreError, Stored};
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::error::CliError;
+
+/// What an application of files did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Applied {
+    /// Generation that the files are in force under.
+    pub generation: Revision,
+    /// Files that differ from those before.
+    pub differences: Vec<FileDifference>,
+}
+
+/// How a file differs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum FileChange {
+    /// The file is new.
+    Added,
+    /// The file is gone.
+    Removed,
+    /// The file's text differs.
+    Changed,
+}
+
+/// One file that differs.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+#[display("{change} {name}")]
+pub struct FileDifference {
+    /// Name of the file.
+    pub name: String,
+    /// How it differs.
+    pub change: FileChange,
+    /// Lines that are only in the new text, each with its number.
+    pub added: Vec<NumberedLine>,
+    /// Lines that are only in the old text, each with its number.
+    pub removed: Vec<NumberedLine>,
+}
+
+/// A line of a file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct NumberedLine {
+    /// Number of the line, from 1.
+    pub line: usize,
+    /// Text of the line.
+    pub text: String,
+}
+
+/// Reads the files of the stored configuration, none if there is none.
+pub async fn stored_files(
+    store: &Store,
+) -> Result<(Option<Stored<Manifest>>, Vec<SourceFile>), CliError> {
+    let manifest = store.read::<Manifest>(&ObjectKey::manifest()).await?;
+    let mut files = Vec::new();
+    if let Some(manifest) = &manifest {
+        for (name, digest) in &manifest.stamped.body.parts {
+            let key = ObjectKey::part(digest);
+            let part = store.read::<String>(&key).await?;
+            let part = part.ok_or(CliError::NotFound {
+                what: format!("{key} is missing"),
+            })?;
+            files.push(SourceFile {
+                name: name.clone(),
+                text: part.stamped.body,
+            });
+        }
+    }
+    Ok((manifest, files))
+}
+
+/// Compares two sets of files.
+#[must_use]
+pub fn differences(before: &[SourceFile], after: &[SourceFile]) -> Vec<FileDifference> {
+    let texts = |files: &[SourceFile]| -> BTreeMap<String, String> {
+        files
+            .iter()
+            .map(|f| (f.name.clone(), f.text.clone()))
+            .collect()
+    };
+    let (before, after) = (texts(before), texts(after));
+    let names: std::collections::BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+    let difference = |name: &String| {
+        let (old, new) = (before.get(name), after.get(name));
+        let change = match (old, new) {
+            (None, _) => FileChange::Added,
+            (_, None) => FileChange::Removed,
+            (Some(old), Some(new)) if old != new => FileChange::Changed,
+            _ => return None,
+        };
+        let (old, new) = (
+            old.map_or("", String::as_str),
+            new.map_or("", String::as_str),
+        );
+        let (added, removed) = (lines_missing(new, old), lines_missing(old, new));
+        Some(FileDifference {
+            name: name.clone(),
+            change,
+            added,
+            removed,
+        })
+    };
+    names.into_iter().filter_map(difference).collect()
+}
+
+/// Returns the lines of one text that the other lacks.
+fn lines_missing(of: &str, from: &str) -> Vec<NumberedLine> {
+    let others: std::collections::HashSet<&str> = from.lines().collect();
+    of.lines()
+        .enumerate()
+        .filter(|(_, text)| !others.contains(text))
+        .map(|(i, text)| NumberedLine {
+            line: i + 1,
+            text: text.to_owned(),
+        })
+        .collect()
+}
+
+/// Checks files as a whole and makes them the configuration.
+///
+/// `base` is the generation that the operator started from, if it matters.
+/// Whoever stores first wins; the other gets a conflict with the difference.
+pub async fn apply_files(
+    store: &Store,
+    files: &[SourceFile],
+    base: Option<Revision>,
+) -> Result<Applied, CliError> {
+    check_files(files)?;
+    let (manifest, before) = stored_files(store).await?;
+    let found = manifest
+        .as_ref()
+        .map_or(Revision::new(0), |m| m.stamped.revision);
+    let differences = differences(&before, files);
+    if let Some(base) = base
+        && base != found
+    {
+        return Err(conflict(base, found, &differences));
+    }
+    if differences.is_empty() && manifest.is_some() {
+        return Ok(Applied {
+            generation: found,
+            differences,
+        });
+    }
+    let mut parts = BTreeMap::new();
+    for file in files {
+        let digest = file.digest();
+        store_part(store, &digest, &file.text).await?;
+        parts.insert(file.name.clone(), digest);
+    }
+    let body = Manifest { parts };
+    match store
+        .replace(&ObjectKey::manifest(), manifest.as_ref(), body)
+        .await
+    {
+        Ok(stored) => Ok(Applied {
+            generation: stored.stamped.revision,
+            differences,
+        }),
+        Err(StoreError::Platform(PlatformError::Conflict)) => {
+            let (now, theirs) = stored_files(store).await?;
+            let now = now.map_or(Revision::new(0), |m| m.stamped.revision);
+            Err(conflict(found, now, &self::differences(&theirs, files)))
+        }
+        Err(error) => Err(error.into()),
+    }
+}
+
+async fn store_part(store: &Store, digest: &str, text: &str) -> Result<(), CliError> {
+    let key = ObjectKey::part(digest);
+    match store.replace(&key, None, text.to_owned()).await {
+        Ok(_) | Err(StoreError::Platform(PlatformError::Conflict)) => Ok(()),
+        Err(error) => Err(error.into()),
+    }
+}
+
+fn conflict(base: Revision, found: Revision, differences: &[FileDifference]) -> CliError {
+    let names: Vec<String> = differences.iter().map(ToString::to_string).collect();
+    let detail = format!(
+        "started from generation {base}, but generation {found} is stored; \
+         against it, your files differ in: {}",
+        if names.is_empty() {
+            "nothing".to_owned()
+        } else {
+            names.join(", ")
+        }
+    );
+    CliError::Conflict { detail }
+}
--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,195 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bulrushhoist_core::{DataCentreName, RequestId, Revision};
+use lexopt::{Arg, Parser, ValueExt as _};
+
+use crate::output::{OutputForm, Printer};
+
+/// Time that a change gets to be in force, unless the caller says otherwise.
+const DEFAULT_WAIT_S: u64 = 8;
+
+/// How much is printed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Verbosity {
+    /// Only errors.
+    Quiet,
+    /// Results.
+    #[default]
+    Normal,
+    /// Results with details.
+    Verbose,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Check a directory of files.
+    Check(PathBuf),
+    /// Compare a directory with the stored configuration.
+    Diff(PathBuf),
+    /// Apply a directory as a whole.
+    Apply {
+        /// The directory.
+        directory: PathBuf,
+        /// Generation that the operator started from.
+        base: Option<Revision>,
+        /// Whether to wait until it is in force everywhere.
+        wait: bool,
+    },
+    /// Show daemons and groups.
+    Status,
+    /// Take a data centre out of service.
+    DataCentreOut {
+        /// The data centre.
+        name: DataCentreName,
+        /// Whether to do it even if a workload is left without a replica.
+        force: bool,
+    },
+    /// Bring a data centre back.
+    DataCentreIn(DataCentreName),
+    /// Show the data centres' service state.
+    DataCentreList,
+    /// Show the entries that callers are told.
+    Entries,
+    /// Show what happened to a request.
+    Explain(RequestId),
+    /// Show help for a command, or for all.
+    Help(Option<String>),
+    /// Show the version.
+    Version,
+}
+
+/// A parsed command line.
+#[derive(Clone, Debug)]
+pub struct Arguments {
+    /// What to do.
+    pub command: Command,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Operators' token.
+    pub token: Option<String>,
+    /// How results are printed.
+    pub printer: Printer,
+    /// How much is printed.
+    pub verbosity: Verbosity,
+    /// Time that a change gets to be in force.
+    pub timeout: Duration,
+}
+
+#[derive(Default)]
+struct Raw {
+    words: Vec<String>,
+    platform: Option<SocketAddr>,
+    form: OutputForm,
+    verbosity: Verbosity,
+    timeout_s: Option<u64>,
+    base: Option<u64>,
+    wait: bool,
+    force: bool,
+    help: bool,
+    version: bool,
+}
+
+/// Parses the command line. The platform's address and the operators' token
+/// may come from the environment instead.
+pub fn parse_arguments(
+    parser: Parser,
+    environment: impl Fn(&str) -> Option<String>,
+) -> Result<Arguments, lexopt::Error> {
+    let raw = read_words(parser)?;
+    let command = command(&raw)?;
+    let from_environment = environment("BULRUSHHOIST_PLATFORM");
+    let platform = match (raw.platform, from_environment) {
+        (Some(address), _) => address,
+        (None, Some(text)) => text
+            .parse()
+            .map_err(|e| format!("BULRUSHHOIST_PLATFORM: {e}"))?,
+        (None, None) if needs_platform(&command) => {
+            return Err("--platform or BULRUSHHOIST_PLATFORM is required".into());
+        }
+        (None, None) => SocketAddr::from(([127, 0, 0, 1], 0)),
+    };
+    let quiet = raw.verbosity == Verbosity::Quiet;
+    Ok(Arguments {
+        command,
+        platform,
+        token: environment("BULRUSHHOIST_OPERATOR_TOKEN"),
+        printer: Printer {
+            form: raw.form,
+            quiet,
+        },
+        verbosity: raw.verbosity,
+        timeout: Duration::from_secs(raw.timeout_s.unwrap_or(DEFAULT_WAIT_S)),
+    })
+}
+
+fn needs_platform(command: &Command) -> bool {
+    !matches!(
+        command,
+        Command::Check(_) | Command::Help(_) | Command::Version
+    )
+}
+
+fn read_words(mut parser: Parser) -> Result<Raw, lexopt::Error> {
+    let mut raw = Raw::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("platform") => raw.platform = Some(parser.value()?.parse()?),
+            Arg::Long("output") => raw.form = parser.value()?.parse()?,
+            Arg::Long("timeout") => raw.timeout_s = Some(parser.value()?.parse()?),
+            Arg::Long("base") => raw.base = Some(parser.value()?.parse()?),
+            Arg::Long("wait") => raw.wait = true,
+            Arg::Long("force") => raw.force = true,
+            Arg::Short('q') | Arg::Long("quiet") => raw.verbosity = Verbosity::Quiet,
+            Arg::Short('v') | Arg::Long("verbose") => raw.verbosity = Verbosity::Verbose,
+            Arg::Short('h') | Arg::Long("help") => raw.help = true,
+            Arg::Short('V') | Arg::Long("version") => raw.version = true,
+            Arg::Value(word) => raw.words.push(word.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(raw)
+}
+
+fn command(raw: &Raw) -> Result<Command, lexopt::Error> {
+    if raw.version {
+        return Ok(Command::Version);
+    }
+    let words: Vec<&str> = raw.words.iter().map(String::as_str).collect();
+    if raw.help {
+        return Ok(Command::Help(raw.words.first().cloned()));
+    }
+    let name = |text: &str| -> Result<DataCentreName, lexopt::Error> {
+        text.parse()
+            .map_err(|e: bulrushhoist_core::InvalidName| e.to_string().into())
+    };
+    Ok(match words.as_slice() {
+        [] => Command::Help(None),
+        ["help"] => Command::Help(None),
+        ["help", topic] => Command::Help(Some((*topic).to_owned())),
+        ["check", directory] => Command::Check(directory.into()),
+        ["diff", directory] => Command::Diff(directory.into()),
+        ["apply", directory] => Command::Apply {
+            directory: directory.into(),
+            base: raw.base.map(Revision::new),
+            wait: raw.wait,
+        },
+        ["status"] => Command::Status,
+        ["data-centre", "out", dc] => Command::DataCentreOut {
+            name: name(dc)?,
+            force: raw.force,
+        },
+        ["data-centre", "in", dc] => Command::DataCentreIn(name(dc)?),
+        ["data-centre", "list"] => Command::DataCentreList,
+        ["entries"] => Command::Entries,
+        ["requests", "explain", id] => Command::Explain(
+            id.parse()
+                .map_err(|_| "a request is named by 32 hexadecimal digits")?,
+        ),
+        other => return Err(format!("unknown command `{}`", other.join(" ")).into()),
+    })
+}
--- /dev/null
+++ b/crates/cli/src/data_centres.rs
@@ -0,0 +1,53 @@
+//! Taking data centres out of service and bringing them back.
+
+use std::collections::BTreeMap;
+
+use bulrushhoist_core::{DataCentreName, DataCentreService, ObjectKey, Revision, ServiceState};
+use bulrushhoist_platform::{PlatformError, Store, StoreError};
+use serde::Serialize;
+
+use crate::error::CliError;
+use crate::fleet::GroupStatus;
+
+/// Serving replicas of one workload with and without a data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Capacity {
+    /// Serving replicas in all.
+    pub serving: usize,
+    /// Serving replicas outside the data centre.
+    pub remaining: usize,
+}
+
+/// Returns what would remain of each workload without a data centre.
+#[must_use]
+pub fn remaining_capacity(
+    groups: &[GroupStatus],
+    data_centre: &DataCentreName,
+) -> BTreeMap<String, Capacity> {
+    let mut capacities: BTreeMap<String, Capacity> = BTreeMap::new();
+    let inside = format!("{data_centre}/");
+    for group in groups.iter().filter(|g| g.serving) {
+        let capacity = capacities.entry(group.workload.clone()).or_default();
+        capacity.serving += 1;
+        capacity.remaining += usize::from(!group.group.starts_with(&inside));
+    }
+    capacities
+}
+
+/// Stores the service state of a data centre; returns the new revision.
+pub async fn set_service(
+    store: &Store,
+    data_centre: &DataCentreName,
+    state: ServiceState,
+) -> Result<Revision, CliError> {
+    let stored = store
+        .update::<DataCentreService>(&ObjectKey::service(), |found| {
+            let mut service = found.cloned().unwrap_or_default();
+            service.set(data_centre, state);
+            (found != Some(&service)).then_some(service)
+        })
+        .await?;
+    let stored = stored.ok_or(StoreError::Platform(PlatformError::Conflict))?;
+    Ok(stored.stamped.revision)
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,83 @@
+//! Errors of the command-line tool, each with an exit code.
+
+use std::io;
+use std::path::PathBuf;
+
+use bulrushhoist_core::Problems;
+use bulrushhoist_platform::{PlatformError, StoreError};
+use derive_more::{Display, Error, From};
+
+/// Why a command failed.
+#[derive(Debug, Display, Error, From)]
+pub enum CliError {
+    /// The command line is wrong.
+    #[display("{_0}; see --help")]
+    Usage(lexopt::Error),
+    /// A file could not be read.
+    #[display("{}: {cause}", path.display())]
+    #[from(skip)]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        #[error(source)]
+        cause: io::Error,
+    },
+    /// The deployment's files have problems; nothing was stored.
+    #[display("{_0}")]
+    Problems(Problems),
+    /// The platform failed.
+    #[display("platform: {_0}")]
+    Store(StoreError),
+    /// The configuration was changed by someone else meanwhile.
+    #[display("conflict: {detail}")]
+    #[from(skip)]
+    Conflict {
+        /// What differs.
+        #[error(not(source))]
+        detail: String,
+    },
+    /// A change is stored but not in force everywhere in time.
+    #[display("stored, but not in force in time at: {missing}")]
+    #[from(skip)]
+    NotInForce {
+        /// Daemons that do not have it in force.
+        #[error(not(source))]
+        missing: String,
+    },
+    /// The command was refused for the users' sake.
+    #[display("refused: {reason}")]
+    #[from(skip)]
+    Refused {
+        /// Why.
+        #[error(not(source))]
+        reason: String,
+    },
+    /// A daemon did not answer.
+    #[display("{_0}")]
+    Daemon(reqwest::Error),
+    /// Nothing of this name is known.
+    #[display("{what}")]
+    #[from(skip)]
+    NotFound {
+        /// What was looked for.
+        #[error(not(source))]
+        what: String,
+    },
+}
+
+impl CliError {
+    /// Returns the exit code, as documented in `docs/CLI.md`.
+    #[must_use]
+    pub const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::Problems(_) | Self::Read { .. } => 2,
+            Self::Conflict { .. } | Self::Store(StoreError::Platform(PlatformError::Conflict)) => 4,
+            Self::NotInForce { .. } => 5,
+            Self::Store(StoreError::Unknown) => 6,
+            Self::Refused { .. } => 7,
+            Self::NotFound { .. } => 8,
+            Self::Store(_) | Self::Daemon(_) => 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,22 @@
+//! What the operators' command-line tool does, as a library.
+//!
+//! The binary parses the command line and prints; the work is done here, so
+//! that tests and the local all-in-one run use the same code.
+
+mod apply;
+mod arguments;
+mod commands;
+mod data_centres;
+mod error;
+mod files;
+mod fleet;
+mod output;
+
+pub use apply::{Applied, FileChange, FileDifference, apply_files, differences, stored_files};
+pub use arguments::{Arguments, Command, Verbosity, parse_arguments};
+pub use commands::run;
+pub use data_centres::{Capacity, remaining_capacity, set_service};
+pub use error::CliError;
+pub use files::read_directory;
+pub use fleet::{DaemonStatus, Fleet, GroupStatus};
+pub use output::{OutputForm, Printer};
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,42 @@
+//! What the tool prints.
+
+use derive_more::{Display, FromStr};
+use serde::Serialize;
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, FromStr)]
+#[display(rename_all = "lowercase")]
+pub enum OutputForm {
+    /// Lines for a person.
+    #[default]
+    Text,
+    /// One JSON document.
+    Json,
+}
+
+/// Prints results in the asked form.
+#[derive(Clone, Copy, Debug)]
+pub struct Printer {
+    /// Form of the output.
+    pub form: OutputForm,
+    /// Whether text is left out.
+    pub quiet: bool,
+}
+
+impl Printer {
+    /// Prints a result: `value` as JSON, or the lines of `text`.
+    #[allow(clippy::print_stdout)]
+    pub fn print<T: Serialize>(&self, value: &T, text: impl FnOnce() -> Vec<String>) {
+        match self.form {
+            OutputForm::Json => {
+                let json = serde_json::to_string_pretty(value);
+                println!(
+                    "{}",
+                    json.unwrap_or_else(|e| format!("{{\"error\":\"{e}\"}}"))
+                );
+            }
+            OutputForm::Text if self.quiet => {}
+            OutputForm::Text => text().iter().for_each(|line| println!("{line}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,153 @@
+//! Evidence that the members of a group are up and belong together.
+//!
+//! Invariant: a group takes new work only while every member's newest report
+//! is fresh and names the expected group, fencing number, rank, workload and
+//! version. Freshness counts from the moment the probe was sent, on the
+//! reader's own clock, so a slow answer or a pause of the reader can only
+//! shorten it. See `docs/decisions/0003-groups.md`.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::allocation::{Group, GroupPhase, Member};
+use crate::ids::VmName;
+use crate::time::Time;
+use crate::vm::{VmPhase, VmStatus};
+
+/// Why a group takes no new work.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum NotServing {
+    /// The group is draining.
+    #[display("draining")]
+    Draining,
+    /// The group is about to swap a member.
+    #[display("swapping a member")]
+    Swapping,
+    /// A member did not answer recently.
+    #[display("no fresh report from {_0}")]
+    Silent(VmName),
+    /// A member is not ready yet.
+    #[display("{_0} is not ready")]
+    NotReady(VmName),
+    /// A member reports another group, rank, workload or version.
+    #[display("{_0} reports another assignment")]
+    Mismatch(VmName),
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    sent: Time,
+    status: VmStatus,
+}
+
+/// The newest report of each VM.
+#[derive(Debug)]
+pub struct EvidenceBook {
+    life: Duration,
+    reports: HashMap<VmName, Report>,
+    distrusted: HashMap<VmName, Time>,
+}
+
+impl EvidenceBook {
+    /// An empty book whose reports count for `life` from their sending.
+    #[must_use]
+    pub fn new(life: Duration) -> Self {
+        Self {
+            life,
+            reports: HashMap::new(),
+            distrusted: HashMap::new(),
+        }
+    }
+
+    /// Records a report that answers a probe sent at `sent`.
+    ///
+    /// A report that answers an older probe than the one on record, or comes
+    /// from another VM than the one that was asked, is ignored.
+    pub fn record(&mut self, asked: &VmName, sent: Time, status: VmStatus) {
+        if status.vm != *asked {
+            return;
+        }
+        if self.reports.get(asked).is_some_and(|r| r.sent > sent) {
+            return;
+        }
+        if self
+            .distrusted
+            .get(asked)
+            .is_some_and(|failed| *failed >= sent)
+        {
+            return;
+        }
+        self.distrusted.remove(asked);
+        self.reports.insert(asked.clone(), Report { sent, status });
+    }
+
+    /// Drops what is known of a VM, since a request to it failed at `now`.
+    /// Only probes that are sent later count again.
+    pub fn distrust(&mut self, vm: &VmName, now: Time) {
+        self.reports.remove(vm);
+        self.distrusted.insert(vm.clone(), now);
+    }
+
+    /// Drops the VMs for which `keep` is false.
+    pub fn retain(&mut self, keep: impl Fn(&VmName) -> bool) {
+        self.reports.retain(|vm, _| keep(vm));
+        self.distrusted.retain(|vm, _| keep(vm));
+    }
+
+    /// Returns the newest report of a VM with its probe's sending time.
+    #[must_use]
+    pub fn latest(&self, vm: &VmName) -> Option<(Time, &VmStatus)> {
+        self.reports.get(vm).map(|r| (r.sent, &r.status))
+    }
+
+    /// Returns a VM's report if it still counts.
+    #[must_use]
+    pub fn fresh(&self, now: Time, vm: &VmName) -> Option<&VmStatus> {
+        let report = self.reports.get(vm)?;
+        (now < report.sent + self.life).then_some(&report.status)
+    }
+
+    /// Returns until when the group may take work, or why it may not.
+    pub fn serving_until(&self, now: Time, group: &Group) -> Result<Time, NotServing> {
+        match group.phase {
+            GroupPhase::Active => {}
+            GroupPhase::Draining => return Err(NotServing::Draining),
+            GroupPhase::Swapping => return Err(NotServing::Swapping),
+        }
+        let mut until = now + self.life;
+        for (rank, member) in (0u32..).zip(&group.members) {
+            until = until.min(self.member_until(now, group, rank, member)?);
+        }
+        Ok(until)
+    }
+
+    fn member_until(
+        &self,
+        now: Time,
+        group: &Group,
+        rank: u32,
+        member: &Member,
+    ) -> Result<Time, NotServing> {
+        let silent = || NotServing::Silent(member.vm.clone());
+        let report = self.reports.get(&member.vm).ok_or_else(silent)?;
+        let until = report.sent + self.life;
+        if until <= now {
+            return Err(silent());
+        }
+        let status = &report.status;
+        let assigned = status.group == Some(group.number)
+            && status.composition == group.composition
+            && status.rank == rank
+            && status.workload.as_ref() == Some(&group.workload)
+            && status.version.as_ref() == Some(&group.version);
+        if !assigned {
+            return Err(NotServing::Mismatch(member.vm.clone()));
+        }
+        if status.phase != VmPhase::Ready {
+            return Err(NotServing::NotReady(member.vm.clone()));
+        }
+        Ok(until)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,66 @@
+//! Domain types and pure decisions of bulrushhoist.
+//!
+//! Nothing in this crate reads a clock, opens a socket, starts a task or draws
+//! from a global random source. Every decision is a function of its inputs and
+//! of the [`Time`] that the caller passes in, so that a test, a fuzz run and
+//! the daemon execute the very same code. See `docs/ARCHITECTURE.md`.
+
+mod admission;
+mod allocation;
+mod cache;
+mod claim;
+mod deployment;
+mod dispatch;
+mod evidence;
+mod freshness;
+mod ids;
+mod lease;
+mod limit;
+mod membership;
+mod objects;
+mod placement;
+mod quarantine;
+mod refusal;
+mod register;
+mod retry;
+mod route;
+mod service;
+mod tables;
+mod ticket;
+mod time;
+mod vm;
+
+pub use admission::{AdmissionQueue, QueueLimits, Waiting};
+pub use allocation::{
+    Allocation, Group, GroupNumber, GroupPhase, Lease, Member, Replacement, SettlingVm,
+};
+pub use cache::{CachedObject, ObjectCache};
+pub use claim::{Claim, ClaimVerdict, claim_key, judge_claim};
+pub use deployment::{
+    DataCentre, Deployment, Fencing, Manifest, Method, Route, SourceFile, Team, Workload,
+    WorkloadKind, check_files,
+};
+pub use dispatch::{Dispatcher, DispatcherSettings, Event, NewRequest, Outcome, ReplicaView};
+pub use evidence::{EvidenceBook, NotServing};
+pub use freshness::{Freshness, FreshnessSettings};
+pub use ids::{
+    DataCentreName, DomainName, FencingNumber, Fingerprint, Incarnation, InvalidName, MemberId,
+    RegionName, RequestId, Revision, TeamName, VersionName, VmName, WorkloadName, stable_hash,
+};
+pub use lease::{LeaseSettings, LeaseStep, LeaseWatch};
+pub use limit::{LimitSettings, ReplicaLimit, share_of};
+pub use membership::{MemberNews, MemberState, Membership, MembershipSettings, ProbeTarget};
+pub use objects::{ObjectKey, SharedBody, Stamped};
+pub use placement::{Order, OrderKind, PlacementSettings, Plan, Planner, Situation};
+pub use quarantine::{Quarantine, QuarantineSettings, QuarantineVerdict};
+pub use refusal::{Execution, Reason, Refusal, RetryReason};
+pub use register::{DaemonPhase, Register, RegisteredDaemon};
+pub use retry::{RetryBudget, RetryBudgetSettings};
+pub use route::{Choice, ReplicaKey, Router, RouterPolicy};
+pub use service::{DataCentreService, ServiceState};
+pub use tables::{Problem, Problems, TableReader, parse_document};
+pub use ticket::{
+    Answer, BookLimits, Digest, Presented, Seal, Ticket, TicketBook, TicketError, TicketOutcome,
+};
+pub use time::Time;
+pub use vm::{VmPhase, VmRecord, VmStatus};
--- /dev/null
+++ b/crates/core/src/refusal.rs
@@ -0,0 +1,197 @@
+//! Why a request was refused or tried again.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// What is known of a refused request's execution.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Execution {
+    /// No endpoint ran the request, and none will.
+    #[display("not_run")]
+    NotRun,
+    /// The request may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Reason of a refusal, with a stable code and one counter each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum Reason {
+    /// The body, a header or a parameter is malformed.
+    BadRequest,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    BodyTooSlow,
+    /// The daemon holds as many requests as it may.
+    TooManyRequests,
+    /// No team has this token.
+    Unauthorized,
+    /// No model or service has this name.
+    UnknownWorkload,
+    /// The service has no route for this path and method.
+    UnknownRoute,
+    /// A non-idempotent request came with neither ticket nor key.
+    TicketRequired,
+    /// The ticket is malformed or was not issued by its named daemon.
+    BadTicket,
+    /// The ticket or key came earlier with another body.
+    TicketReused,
+    /// The ticket's answer is no longer kept.
+    TicketExpired,
+    /// The daemon that issued the ticket is gone or out of reach.
+    OwnerUnreachable,
+    /// The claim for an idempotency key could not be stored.
+    ClaimFailed,
+    /// The daemon has no proof that its configuration is current.
+    Stale,
+    /// The daemon is stopping.
+    Draining,
+    /// No replica of the workload is serving.
+    NoReplica,
+    /// The request could not start before its deadline.
+    Overloaded,
+    /// The queue of the team is full.
+    QueueFull,
+    /// The team has as many requests in flight as it may.
+    TeamLimit,
+    /// The request is suspected of crashing endpoints.
+    Quarantined,
+    /// The endpoint failed and the request may not be repeated.
+    EndpointFailed,
+    /// Retries are used up or outside the budget.
+    RetriesExhausted,
+    /// The stream is not known to its endpoint any more.
+    StreamGone,
+}
+
+impl Reason {
+    /// Every reason, for counters that start at zero.
+    pub const ALL: [Self; 23] = [
+        Self::BadRequest,
+        Self::BodyTooLarge,
+        Self::BodyTooSlow,
+        Self::TooManyRequests,
+        Self::Unauthorized,
+        Self::UnknownWorkload,
+        Self::UnknownRoute,
+        Self::TicketRequired,
+        Self::BadTicket,
+        Self::TicketReused,
+        Self::TicketExpired,
+        Self::OwnerUnreachable,
+        Self::ClaimFailed,
+        Self::Stale,
+        Self::Draining,
+        Self::NoReplica,
+        Self::Overloaded,
+        Self::QueueFull,
+        Self::TeamLimit,
+        Self::Quarantined,
+        Self::EndpointFailed,
+        Self::RetriesExhausted,
+        Self::StreamGone,
+    ];
+
+    /// Returns the HTTP status of the refusal.
+    #[must_use]
+    pub const fn http_status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::TicketRequired | Self::BadTicket => 400,
+            Self::Unauthorized => 401,
+            Self::UnknownWorkload | Self::UnknownRoute => 404,
+            Self::BodyTooSlow => 408,
+            Self::TicketReused => 409,
+            Self::TicketExpired | Self::StreamGone => 410,
+            Self::BodyTooLarge => 413,
+            Self::Quarantined => 422,
+            Self::QueueFull | Self::TeamLimit => 429,
+            Self::EndpointFailed | Self::OwnerUnreachable | Self::RetriesExhausted => 502,
+            Self::TooManyRequests
+            | Self::ClaimFailed
+            | Self::Stale
+            | Self::Draining
+            | Self::NoReplica
+            | Self::Overloaded => 503,
+        }
+    }
+
+    /// Returns the seconds after which a repeat may help, if it may.
+    #[must_use]
+    pub const fn retry_after_s(self) -> Option<u32> {
+        match self {
+            Self::TooManyRequests
+            | Self::ClaimFailed
+            | Self::Stale
+            | Self::Draining
+            | Self::NoReplica
+            | Self::Overloaded
+            | Self::QueueFull
+            | Self::TeamLimit
+            | Self::RetriesExhausted => Some(1),
+            Self::Quarantined => Some(60),
+            _ => None,
+        }
+    }
+}
+
+/// A refusal as the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display("{reason} ({execution})")]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub reason: Reason,
+    /// What is known of its execution.
+    pub execution: Execution,
+}
+
+impl Refusal {
+    /// A refusal of a request that no endpoint ran or will run.
+    #[must_use]
+    pub const fn not_run(reason: Reason) -> Self {
+        Self {
+            reason,
+            execution: Execution::NotRun,
+        }
+    }
+
+    /// A refusal of a request that may have run.
+    #[must_use]
+    pub const fn unknown(reason: Reason) -> Self {
+        Self {
+            reason,
+            execution: Execution::Unknown,
+        }
+    }
+}
+
+/// Why a request was tried again, with one counter each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum RetryReason {
+    /// The connection failed before the request was written.
+    ConnectFailed,
+    /// The endpoint refused the request without running it.
+    EndpointRefused,
+    /// The endpoint was lost while it ran an idempotent request.
+    EndpointLost,
+    /// The answer was malformed, truncated or belonged to another request.
+    BadAnswer,
+    /// A stream went silent and was resumed on a new connection.
+    StreamResumed,
+}
+
+impl RetryReason {
+    /// Every reason, for counters that start at zero.
+    pub const ALL: [Self; 5] = [
+        Self::ConnectFailed,
+        Self::EndpointRefused,
+        Self::EndpointLost,
+        Self::BadAnswer,
+        Self::StreamResumed,
+    ];
+}
--- /dev/null
+++ b/crates/core/src/register.rs
@@ -0,0 +1,97 @@
+//! The register: which daemons exist.
+//!
+//! A daemon registers once at its start and leaves at its planned stop. No
+//! heartbeat is written here; liveness is the business of gossip. Shares of a
+//! replica's limit and majorities count registered, not live, daemons, so that
+//! differing views of liveness cannot add up to more than the whole.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentreName, Incarnation, MemberId, stable_hash};
+
+/// Whether a daemon should get callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DaemonPhase {
+    /// The others may not know the daemon yet, so it takes no work.
+    Joining,
+    /// The daemon takes work.
+    Active,
+    /// The daemon is stopping.
+    Leaving,
+}
+
+/// One registered daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RegisteredDaemon {
+    /// Identity of the process.
+    pub id: MemberId,
+    /// Run of the process, which its tickets name.
+    pub incarnation: Incarnation,
+    /// Data centre of its entry VM.
+    pub data_centre: DataCentreName,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for other daemons.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Whether the daemon should get callers.
+    pub phase: DaemonPhase,
+}
+
+/// The registered daemons, by identity.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Register {
+    /// Registered daemons in ascending order of identity.
+    pub daemons: Vec<RegisteredDaemon>,
+}
+
+impl Register {
+    /// Returns the daemon with this identity.
+    #[must_use]
+    pub fn get(&self, id: MemberId) -> Option<&RegisteredDaemon> {
+        let found = self.daemons.binary_search_by_key(&id, |d| d.id).ok()?;
+        self.daemons.get(found)
+    }
+
+    /// Adds a daemon or replaces its record.
+    ///
+    /// A record with the same caller address is of an earlier process on the
+    /// same VM, which cannot run any more, and is dropped.
+    pub fn insert(&mut self, daemon: RegisteredDaemon) {
+        self.daemons
+            .retain(|d| d.id != daemon.id && d.caller != daemon.caller);
+        let at = self.daemons.partition_point(|d| d.id < daemon.id);
+        self.daemons.insert(at, daemon);
+    }
+
+    /// Removes a daemon; returns whether it was there.
+    pub fn remove(&mut self, id: MemberId) -> bool {
+        let before = self.daemons.len();
+        self.daemons.retain(|d| d.id != id);
+        self.daemons.len() != before
+    }
+
+    /// Ranks the daemons for `subject` by rendezvous hashing, best first.
+    #[must_use]
+    pub fn ranked(&self, subject: &str) -> Vec<MemberId> {
+        let mut ranked: Vec<_> = self.daemons.iter().map(|d| d.id).collect();
+        ranked.sort_by_cached_key(|id| {
+            stable_hash([subject.as_bytes(), &id.get().to_be_bytes()[..]])
+        });
+        ranked
+    }
+
+    /// Returns the daemons whose majority decides freshness, at most `size`.
+    #[must_use]
+    pub fn committee(&self, size: usize) -> Vec<MemberId> {
+        let mut ranked = self.ranked("committee");
+        ranked.truncate(size);
+        ranked
+    }
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,393 @@
+//! Choice of the replica that runs a request.
+//!
+//! The router keeps, per workload and data centre, the replicas with room for
+//! one more request of this entry. A choice looks at a few of them, so its
+//! cost does not grow with their number: the two that rendezvous order prefers
+//! for the request's prompt prefix, and a few at random. The cheapest wins, in
+//! estimated seconds to the first token. See `docs/decisions/0005-routing.md`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngExt as _};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::allocation::GroupNumber;
+use crate::ids::{DataCentreName, VmName, WorkloadName, stable_hash};
+use crate::limit::{LimitSettings, ReplicaLimit, share_of};
+use crate::time::Time;
+
+/// Replicas looked at for the sake of a cached prefix.
+const PREFIX_SAMPLES: usize = 2;
+/// Replicas looked at at random in each data centre.
+const RANDOM_SAMPLES: usize = 3;
+/// Points of each replica on the ring that maps prefixes to replicas.
+const RING_POINTS: u64 = 8;
+/// Share of the first-token time that a cached prefix is assumed to save.
+const PREFIX_SAVING: f64 = 0.5;
+
+/// Identity of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ReplicaKey {
+    /// Data centre of the group.
+    pub data_centre: DataCentreName,
+    /// Number of the group there.
+    pub number: GroupNumber,
+}
+
+impl std::fmt::Display for ReplicaKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.data_centre, self.number)
+    }
+}
+
+/// How a replica is chosen. All but the first are baselines to measure against.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RouterPolicy {
+    /// Lowest estimated first-token time, with affinity to cached prefixes.
+    #[default]
+    Affinity,
+    /// Lowest load by the endpoints' lagging reports.
+    LaggingReport,
+    /// Any replica with room.
+    Random,
+}
+
+/// What the router has to know of a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaSpec {
+    pub(crate) key: ReplicaKey,
+    pub(crate) workload: WorkloadName,
+    pub(crate) leader: VmName,
+    pub(crate) address: SocketAddr,
+    pub(crate) rank: u32,
+    pub(crate) entries: u32,
+    pub(crate) in_service: bool,
+    pub(crate) one_way_delay: Duration,
+    pub(crate) limits: LimitSettings,
+}
+
+/// A chosen replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// VM that takes its requests.
+    pub leader: VmName,
+    /// Address of the endpoint on that VM.
+    pub address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Replica {
+    spec: ReplicaSpec,
+    limit: ReplicaLimit,
+    in_flight: u32,
+    reported: u32,
+    serving_until: Time,
+    slot: Option<usize>,
+}
+
+impl Replica {
+    /// Requests that this entry may have in flight here.
+    ///
+    /// A newcomer among the entries also counts what the endpoint reports as
+    /// running, since the others may not have made room for it yet.
+    fn allowance(&self, newcomer: bool) -> u32 {
+        let total = self.limit.total();
+        let share = share_of(total, self.spec.rank, self.spec.entries);
+        if !newcomer {
+            return share;
+        }
+        let others = self.reported.saturating_sub(self.in_flight);
+        share.min(total.saturating_sub(others))
+    }
+
+    fn is_serving(&self, now: Time) -> bool {
+        self.spec.in_service && now < self.serving_until
+    }
+
+    fn has_room(&self, newcomer: bool) -> bool {
+        self.spec.in_service && self.in_flight < self.allowance(newcomer)
+    }
+
+    /// Estimated seconds until the first token of one more request.
+    fn cost(&self, cached: bool) -> f64 {
+        let target = self.spec.limits.target.as_secs_f64();
+        let base = self.limit.latency_s().unwrap_or(target / 4.0);
+        let saved = if cached { PREFIX_SAVING } else { 0.0 };
+        let load = f64::from(self.in_flight + 1) / f64::from(self.allowance(false).max(1));
+        base * (1.0 - saved + load) + 2.0 * self.spec.one_way_delay.as_secs_f64()
+    }
+}
+
+/// The replicas of one workload.
+#[derive(Debug, Default)]
+struct Pool {
+    open: BTreeMap<DataCentreName, Vec<ReplicaKey>>,
+    ring: Vec<(u64, ReplicaKey)>,
+}
+
+/// The replicas that this entry may use.
+#[derive(Debug)]
+pub struct Router {
+    policy: RouterPolicy,
+    newcomer: bool,
+    replicas: HashMap<ReplicaKey, Replica>,
+    pools: HashMap<WorkloadName, Pool>,
+}
+
+impl Router {
+    /// A router without replicas.
+    #[must_use]
+    pub fn new(policy: RouterPolicy) -> Self {
+        Self {
+            policy,
+            newcomer: true,
+            replicas: HashMap::new(),
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Sets whether other entries may not yet have made room for this one.
+    pub fn set_newcomer(&mut self, newcomer: bool) {
+        if self.newcomer == newcomer {
+            return;
+        }
+        self.newcomer = newcomer;
+        let keys: Vec<_> = self.replicas.keys().cloned().collect();
+        for key in &keys {
+            self.refresh(key);
+        }
+    }
+
+    /// Replaces the set of replicas; what is known of those that stay is kept.
+    pub(crate) fn set_replicas(&mut self, specs: Vec<ReplicaSpec>) {
+        let mut before = std::mem::take(&mut self.replicas);
+        self.pools.clear();
+        for spec in specs {
+            let key = spec.key.clone();
+            let replica = match before.remove(&key) {
+                Some(known) if known.spec.leader == spec.leader => {
+                    let limit = match known.spec.limits == spec.limits {
+                        true => known.limit,
+                        false => ReplicaLimit::new(spec.limits),
+                    };
+                    Replica {
+                        spec,
+                        limit,
+                        slot: None,
+                        ..known
+                    }
+                }
+                other => Replica {
+                    limit: ReplicaLimit::new(spec.limits),
+                    in_flight: other.map_or(0, |o| o.in_flight),
+                    reported: 0,
+                    serving_until: Time::ZERO,
+                    slot: None,
+                    spec,
+                },
+            };
+            let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
+            for point in 0..RING_POINTS {
+                let name = key.to_string();
+                let hash = stable_hash([name.as_bytes(), &point.to_be_bytes()[..]]);
+                pool.ring.push((hash, key.clone()));
+            }
+            self.replicas.insert(key.clone(), replica);
+            self.refresh(&key);
+        }
+        for pool in self.pools.values_mut() {
+            pool.ring.sort_unstable();
+        }
+    }
+
+    /// Sets until when a replica may take work.
+    pub fn set_serving(&mut self, key: &ReplicaKey, until: Option<Time>) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.serving_until = until.unwrap_or(Time::ZERO);
+        }
+    }
+
+    /// Takes an endpoint's report of its load.
+    pub fn on_report(&mut self, key: &ReplicaKey, epoch: u64, served: u64, running: u32) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.limit.on_report(epoch, served);
+            replica.reported = running;
+            self.refresh(key);
+        }
+    }
+
+    /// Returns the limit of a replica, to feed observations into.
+    pub(crate) fn observe(&mut self, key: &ReplicaKey, note: impl FnOnce(&mut ReplicaLimit)) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            note(&mut replica.limit);
+            self.refresh(key);
+        }
+    }
+
+    /// Chooses a replica that serves and has room, and takes a place there.
+    pub fn start(
+        &mut self,
+        now: Time,
+        workload: &WorkloadName,
+        prefix: u64,
+        avoid: &[ReplicaKey],
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let key = self.choose(now, workload, prefix, avoid, rng)?;
+        let replica = self.replicas.get_mut(&key)?;
+        replica.in_flight += 1;
+        let (leader, address) = (replica.spec.leader.clone(), replica.spec.address);
+        self.refresh(&key);
+        Some(Choice {
+            replica: key,
+            leader,
+            address,
+        })
+    }
+
+    /// Gives back the place of a request that ended.
+    pub fn finish(&mut self, key: &ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.in_flight = replica.in_flight.saturating_sub(1);
+            self.refresh(key);
+        }
+    }
+
+    /// Returns this entry's requests in flight at a replica.
+    #[must_use]
+    pub fn in_flight(&self, key: &ReplicaKey) -> u32 {
+        self.replicas.get(key).map_or(0, |r| r.in_flight)
+    }
+
+    /// Returns what this entry may have in flight at a replica.
+    #[must_use]
+    pub fn allowance(&self, key: &ReplicaKey) -> u32 {
+        self.replicas
+            .get(key)
+            .map_or(0, |r| r.allowance(self.newcomer))
+    }
+
+    /// Returns whether a replica is in service and has fresh evidence.
+    #[must_use]
+    pub fn is_serving(&self, now: Time, key: &ReplicaKey) -> bool {
+        self.replicas.get(key).is_some_and(|r| r.is_serving(now))
+    }
+
+    /// Returns the places of this entry at replicas of a workload that serve.
+    #[must_use]
+    pub fn capacity(&self, now: Time, workload: &WorkloadName) -> u32 {
+        let serving = |r: &&Replica| r.spec.workload == *workload && r.is_serving(now);
+        self.replicas
+            .values()
+            .filter(serving)
+            .map(|r| r.allowance(self.newcomer))
+            .sum()
+    }
+
+    /// Returns whether any replica of a workload serves.
+    #[must_use]
+    pub fn any_serving(&self, now: Time, workload: &WorkloadName) -> bool {
+        self.replicas
+            .values()
+            .any(|r| r.spec.workload == *workload && r.is_serving(now))
+    }
+
+    fn choose(
+        &self,
+        now: Time,
+        workload: &WorkloadName,
+        prefix: u64,
+        avoid: &[ReplicaKey],
+        rng: &mut impl Rng,
+    ) -> Option<ReplicaKey> {
+        let pool = self.pools.get(workload)?;
+        let usable = |key: &&ReplicaKey| self.is_usable(now, key) && !avoid.contains(key);
+        let cached: SmallVec<[&ReplicaKey; PREFIX_SAMPLES]> = match self.policy {
+            RouterPolicy::Affinity => pool.preferred(prefix).take(PREFIX_SAMPLES).collect(),
+            RouterPolicy::LaggingReport | RouterPolicy::Random => SmallVec::new(),
+        };
+        let mut candidates: SmallVec<[&ReplicaKey; 16]> =
+            cached.iter().copied().filter(usable).collect();
+        for open in pool.open.values().filter(|o| !o.is_empty()) {
+            let samples = (0..RANDOM_SAMPLES).map(|_| &open[rng.random_range(0..open.len())]);
+            candidates.extend(samples.filter(usable));
+        }
+        if candidates.is_empty() {
+            candidates = pool
+                .open
+                .values()
+                .flatten()
+                .filter(usable)
+                .take(1)
+                .collect();
+        }
+        let mut best: Option<(f64, &ReplicaKey)> = None;
+        for key in candidates {
+            let cost = self.cost(key, cached.contains(&key), rng);
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key.clone())
+    }
+
+    fn cost(&self, key: &ReplicaKey, cached: bool, rng: &mut impl Rng) -> f64 {
+        let Some(replica) = self.replicas.get(key) else {
+            return f64::INFINITY;
+        };
+        match self.policy {
+            RouterPolicy::Affinity => replica.cost(cached),
+            RouterPolicy::LaggingReport => f64::from(replica.reported),
+            RouterPolicy::Random => rng.random(),
+        }
+    }
+
+    fn is_usable(&self, now: Time, key: &ReplicaKey) -> bool {
+        let Some(replica) = self.replicas.get(key) else {
+            return false;
+        };
+        replica.is_serving(now) && replica.has_room(self.newcomer)
+    }
+
+    /// Puts a replica on or off its list of replicas with room.
+    fn refresh(&mut self, key: &ReplicaKey) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let room = replica.has_room(self.newcomer);
+        if room == replica.slot.is_some() {
+            return;
+        }
+        let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
+        let open = pool.open.entry(key.data_centre.clone()).or_default();
+        let Some(slot) = replica.slot.take() else {
+            replica.slot = Some(open.len());
+            open.push(key.clone());
+            return;
+        };
+        open.swap_remove(slot);
+        let Some(moved) = open.get(slot).cloned() else {
+            return;
+        };
+        if let Some(other) = self.replicas.get_mut(&moved) {
+            other.slot = Some(slot);
+        }
+    }
+}
+
+impl Pool {
+    /// Replicas in the ring's order from a prefix on.
+    fn preferred(&self, prefix: u64) -> impl Iterator<Item = &ReplicaKey> {
+        let start = self.ring.partition_point(|(hash, _)| *hash < prefix);
+        self.ring[start..]
+            .iter()
+            .chain(&self.ring[..start])
+            .map(|(_, key)| key)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,47 @@
+//! The callers' interface: a chain of filters, then one handler per call.
+
+mod completions;
+mod entries;
+mod filters;
+mod forward;
+mod refusals;
+mod resume;
+mod run;
+mod services;
+
+use std::sync::Arc;
+
+use bulrushhoist_core::{Fingerprint, stable_hash};
+use salvo::Router;
+
+use crate::node::Node;
+
+/// Builds the callers' interface. See `docs/openapi.yaml`.
+pub(crate) fn router(node: &Arc<Node>) -> Router {
+    let authenticated = Router::new()
+        .hoop(filters::Authenticate::new(node))
+        .push(Router::with_path("tickets").post(entries::Tickets::new(node)))
+        .push(Router::with_path("streams").get(resume::Resume::new(node)))
+        .push(
+            Router::with_path("chat/completions")
+                .hoop(filters::ReadBody::new(node))
+                .post(completions::Completions::new(node)),
+        )
+        .push(
+            Router::with_path("services/{service}/{**path}")
+                .hoop(filters::ReadBody::new(node))
+                .goal(services::Services::new(node)),
+        );
+    Router::with_path("v1")
+        .push(Router::with_path("entries").get(entries::Entries::new(node)))
+        .push(
+            Router::new()
+                .hoop(filters::Gate::new(node))
+                .push(authenticated),
+        )
+}
+
+/// Returns the fingerprint by which repeats of a request are recognised.
+fn fingerprint(workload: &str, path: &str, body: &[u8]) -> Fingerprint {
+    Fingerprint::new(stable_hash([workload.as_bytes(), path.as_bytes(), body]))
+}
--- /dev/null
+++ b/crates/daemon/src/callers/filters.rs
@@ -0,0 +1,172 @@
+//! The filters that every request passes, in order.
+
+use std::sync::Arc;
+
+use bulrushhoist_core::{Reason, TeamName};
+use bytes::Bytes;
+use salvo::http::ParseError;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
+
+use super::refusals::{early_refusal, may_be_repeat, refuse};
+use crate::node::{Node, OpenRequest};
+
+/// The team that a request was authenticated for.
+#[derive(Clone)]
+pub(super) struct Caller {
+    pub(super) team: TeamName,
+}
+
+/// The whole body of a request.
+#[derive(Clone)]
+pub(super) struct Body(pub(super) Bytes);
+
+/// Keeps the request counted for as long as the depot or its taker lives.
+pub(super) struct Counted(pub(super) Option<OpenRequest>);
+
+/// Refuses requests while the daemon has too many or is stopping.
+pub(super) struct Gate {
+    node: Arc<Node>,
+}
+
+impl Gate {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        Self {
+            node: Arc::clone(node),
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Gate {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let Some(open) = self.node.open_request() else {
+            refuse(
+                &self.node,
+                res,
+                None,
+                early_refusal(req, Reason::TooManyRequests),
+            );
+            ctrl.skip_rest();
+            return;
+        };
+        // A repeat may still be answered from the ticket book.
+        if self.node.is_refusing() && !may_be_repeat(req) {
+            refuse(&self.node, res, None, early_refusal(req, Reason::Draining));
+            ctrl.skip_rest();
+            return;
+        }
+        depot.insert_typed(Counted(Some(open)));
+    }
+}
+
+/// Finds the team that the bearer token belongs to.
+pub(super) struct Authenticate {
+    node: Arc<Node>,
+}
+
+impl Authenticate {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        Self {
+            node: Arc::clone(node),
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Authenticate {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let view = self.node.view();
+        let header = req
+            .headers()
+            .get("authorization")
+            .and_then(|v| v.to_str().ok());
+        let token = header.and_then(|h| h.strip_prefix("Bearer "));
+        let team = token.and_then(|t| view.deployment.team_of_token(t));
+        let Some(team) = team else {
+            // Without a configuration no token can be told from another.
+            let unconfigured = view.generation.get() == 0;
+            let reason = if unconfigured {
+                Reason::Stale
+            } else {
+                Reason::Unauthorized
+            };
+            refuse(&self.node, res, None, early_refusal(req, reason));
+            ctrl.skip_rest();
+            return;
+        };
+        depot.insert_typed(Caller {
+            team: team.name.clone(),
+        });
+    }
+}
+
+/// Reads the body within its bounds.
+pub(super) struct ReadBody {
+    node: Arc<Node>,
+}
+
+impl ReadBody {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        Self {
+            node: Arc::clone(node),
+        }
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for ReadBody {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let read = req
+            .payload_with_max_size(self.node.settings.limits.body_bytes)
+            .await;
+        let reason = match read {
+            Ok(body) => {
+                depot.insert_typed(Body(body.clone()));
+                return;
+            }
+            Err(ParseError::PayloadTooLarge) => Reason::BodyTooLarge,
+            Err(_) => Reason::BodyTooSlow,
+        };
+        refuse(&self.node, res, None, early_refusal(req, reason));
+        ctrl.skip_rest();
+    }
+}
+
+/// Returns what the filters found out about a request.
+pub(super) fn caller(depot: &Depot) -> Option<Caller> {
+    depot.get_typed::<Caller>().ok().cloned()
+}
+
+/// Returns the body that the filters read.
+pub(super) fn body(depot: &Depot) -> Bytes {
+    depot
+        .get_typed::<Body>()
+        .map(|b| b.0.clone())
+        .unwrap_or_default()
+}
+
+/// Takes over the counting of a request that outlives its handler.
+pub(super) fn take_count(depot: &mut Depot) -> Option<OpenRequest> {
+    depot
+        .get_typed_mut::<Counted>()
+        .ok()
+        .and_then(|c| c.0.take())
+}
--- /dev/null
+++ b/crates/daemon/src/callers/forward.rs
@@ -0,0 +1,82 @@
+//! Forwarding a request to the entry that owns its ticket.
+
+use bulrushhoist_core::{Answer, Incarnation, ObjectKey, Reason, Refusal, Seal, Ticket};
+use reqwest::Method;
+use salvo::http::HeaderMap;
+
+use super::refusals::{REQUEST_ID_HEADER, TICKET_HEADER};
+use crate::node::Node;
+
+/// Header that marks a forwarded request, which is not forwarded again.
+pub(super) const FORWARDED_HEADER: &str = "x-forwarded-by-entry";
+/// Headers that go along with a forwarded request.
+const KEPT_HEADERS: [&str; 2] = ["authorization", "content-type"];
+
+/// A request on its way to another entry.
+pub(super) struct Forwarded<'a> {
+    pub(super) method: &'a str,
+    pub(super) path: &'a str,
+    pub(super) headers: &'a HeaderMap,
+    pub(super) body: bytes::Bytes,
+}
+
+/// Sends a request to the ticket's owner and returns the owner's answer.
+pub(super) async fn forward(
+    node: &Node,
+    ticket: &Ticket,
+    request: Forwarded<'_>,
+) -> Result<Answer, Refusal> {
+    // Only daemons are contacted on a caller's word.
+    let known = node
+        .view()
+        .register
+        .daemons
+        .iter()
+        .any(|d| d.incarnation == ticket.incarnation);
+    if !known {
+        return Err(settle(node, ticket.incarnation, ticket.sequence).await);
+    }
+    let unreachable = |_| Refusal::unknown(Reason::OwnerUnreachable);
+    let method = Method::from_bytes(request.method.as_bytes())
+        .map_err(|_| Refusal::unknown(Reason::BadRequest))?;
+    let url = format!("http://{}{}", ticket.owner, request.path);
+    let mut call = node
+        .forwarder
+        .request(method, url)
+        .header(FORWARDED_HEADER, node.id.to_string())
+        .header(TICKET_HEADER, ticket.to_string())
+        .body(request.body);
+    for name in KEPT_HEADERS {
+        if let Some(value) = request.headers.get(name) {
+            call = call.header(name, value.as_bytes());
+        }
+    }
+    let response = call.send().await.map_err(unreachable)?;
+    let named = response.headers().contains_key(REQUEST_ID_HEADER);
+    if !named {
+        return Err(Refusal::unknown(Reason::OwnerUnreachable));
+    }
+    let status = response.status().as_u16();
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok())
+        .map(str::to_owned);
+    let body = response.bytes().await.map_err(unreachable)?.to_vec();
+    Ok(Answer {
+        status,
+        content_type,
+        body,
+    })
+}
+
+/// Says what is known of a ticket whose owner has gone: what the owner sealed
+/// at its planned stop, or nothing.
+async fn settle(node: &Node, incarnation: Incarnation, sequence: u64) -> Refusal {
+    let unknown = Refusal::unknown(Reason::OwnerUnreachable);
+    let read = node.store.read::<Seal>(&ObjectKey::seal(incarnation)).await;
+    match read {
+        Ok(Some(seal)) => seal.stamped.body.refusal(sequence),
+        Ok(None) | Err(_) => unknown,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/refusals.rs
@@ -0,0 +1,71 @@
+//! Refusals as `application/problem+json`.
+
+use bulrushhoist_core::{Refusal, RequestId};
+use salvo::http::StatusCode;
+use salvo::http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use salvo::prelude::{Request, Response};
+use serde_json::json;
+
+use crate::node::Node;
+
+/// Header that names the request in answers.
+pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with a ticket.
+pub(super) const TICKET_HEADER: &str = "ticket";
+/// Header with an idempotency key.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
+
+/// Counts a refusal and writes it to the response.
+pub(super) fn refuse(node: &Node, res: &mut Response, id: Option<RequestId>, refusal: Refusal) {
+    node.metrics.on_refusal(refusal);
+    if let Some(id) = id {
+        node.note(id, format!("refused: {refusal}"));
+        set_request_id(res, id);
+    }
+    let status = StatusCode::from_u16(refusal.reason.http_status());
+    res.status_code(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
+    if let Some(after) = refusal.reason.retry_after_s() {
+        res.headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(after));
+    }
+    res.headers_mut().insert(
+        salvo::http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    res.body(problem(id, refusal));
+}
+
+/// Returns a refusal as JSON.
+pub(super) fn problem(id: Option<RequestId>, refusal: Refusal) -> String {
+    json!({
+        "type": format!("urn:bulrushhoist:reason:{}", refusal.reason),
+        "title": refusal.reason.to_string().replace('_', " "),
+        "status": refusal.reason.http_status(),
+        "reason": refusal.reason,
+        "execution": refusal.execution,
+        "request_id": id,
+    })
+    .to_string()
+}
+
+pub(super) fn set_request_id(res: &mut Response, id: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        res.headers_mut()
+            .insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+}
+
+/// Whether a request may be a repeat of one that has run: a refusal that does
+/// not ask the ticket book must then not say that it did not.
+pub(super) fn may_be_repeat(req: &Request) -> bool {
+    req.headers().contains_key(TICKET_HEADER) || req.headers().contains_key(KEY_HEADER)
+}
+
+/// A refusal before the ticket book was asked.
+pub(super) fn early_refusal(req: &Request, reason: bulrushhoist_core::Reason) -> Refusal {
+    if may_be_repeat(req) {
+        Refusal::unknown(reason)
+    } else {
+        Refusal::not_run(reason)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/services.rs
@@ -0,0 +1,377 @@
+//! Calls to plain services, idempotent or at most once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushhoist_core::{
+    Answer, Claim, ClaimVerdict, Digest, NewRequest, ObjectKey, Outcome, Presented, Reason,
+    Refusal, RequestId, Ticket, TicketOutcome, WorkloadKind, WorkloadName, claim_key, judge_claim,
+};
+use bulrushhoist_engine::{CallRequest, EndpointError, Settled};
+use bulrushhoist_platform::{PlatformError, StoreError};
+use salvo::http::StatusCode;
+use salvo::http::header::{CONTENT_TYPE, HeaderValue};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
+use smallvec::SmallVec;
+
+use super::filters::{Caller, body, caller};
+use super::fingerprint;
+use super::forward::{FORWARDED_HEADER, Forwarded, forward};
+use super::refusals::{KEY_HEADER, TICKET_HEADER, early_refusal, refuse, set_request_id};
+use super::run::{Attempt, Attempts};
+use crate::metrics::PlatformCall;
+use crate::node::Node;
+use crate::tickets::Admission;
+
+/// Wait before the fate of a running call is asked again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Failed questions after which a call's fate is given up.
+const SETTLE_FAILURES: u32 = 3;
+
+pub(super) struct Services {
+    node: Arc<Node>,
+}
+
+/// A checked call.
+#[derive(Clone)]
+struct ServiceCall {
+    request: NewRequest,
+    call: CallRequest,
+    idempotent: bool,
+    accepted: bulrushhoist_core::Time,
+}
+
+/// Under what a non-idempotent call runs at most once.
+enum Guard {
+    Ticket(Ticket),
+    Key(String),
+}
+
+impl Services {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        Self {
+            node: Arc::clone(node),
+        }
+    }
+
+    fn prepare(
+        &self,
+        req: &mut Request,
+        caller: &Caller,
+        body: bytes::Bytes,
+    ) -> Result<ServiceCall, Reason> {
+        let service: String = req.param("service").unwrap_or_default();
+        let rest: String = req.param("path").unwrap_or_default();
+        let path = format!("/{rest}");
+        let method = req.method().as_str().to_owned();
+        let view = self.node.view();
+        let workload = view.deployment.workload(&service);
+        let workload = workload.filter(|w| w.kind == WorkloadKind::Service);
+        let workload = workload.ok_or(Reason::UnknownWorkload)?;
+        let route = workload.route(&method, &path).ok_or(Reason::UnknownRoute)?;
+        let query = req
+            .uri()
+            .query()
+            .map(|q| format!("?{q}"))
+            .unwrap_or_default();
+        let id = RequestId::from(rand::random::<u128>());
+        let now = self.node.now();
+        let content_type = req
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|v| v.to_str().ok());
+        let call = CallRequest {
+            id,
+            method,
+            path: format!("{path}{query}"),
+            content_type: content_type.map(str::to_owned),
+            timeout: workload.answer_timeout,
+            body,
+        };
+        let request = NewRequest {
+            id,
+            team: caller.team.clone(),
+            workload: workload.name.clone(),
+            prefix: rand::random(),
+            fingerprint: fingerprint(&service, &call.path, &call.body),
+            deadline: now + workload.first_token,
+            avoid: SmallVec::new(),
+        };
+        Ok(ServiceCall {
+            request,
+            call,
+            idempotent: route.idempotent,
+            accepted: now,
+        })
+    }
+}
+
+#[salvo::async_trait]
+impl Handler for Services {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let Some(caller) = caller(depot) else { return };
+        let mut call = match self.prepare(req, &caller, body(depot)) {
+            Ok(call) => call,
+            Err(reason) => return refuse(&self.node, res, None, early_refusal(req, reason)),
+        };
+        let result = if call.idempotent {
+            self.node
+                .note(call.request.id, format!("call of team {}", caller.team));
+            run_idempotent(&self.node, call.clone()).await
+        } else {
+            match guard(req) {
+                Ok(Guard::Ticket(ticket)) => {
+                    call.request.id = ticket.request_id();
+                    self.run_ticket(req, &ticket, call.clone()).await
+                }
+                Ok(Guard::Key(key)) => self.run_key(req, &key, &mut call).await,
+                Err(refusal) => Err(refusal),
+            }
+        };
+        match result {
+            Ok(answer) => render(res, call.request.id, answer),
+            Err(refusal) => refuse(&self.node, res, Some(call.request.id), refusal),
+        }
+    }
+}
+
+/// Returns the ticket or key of a request, of which it needs one.
+fn guard(req: &Request) -> Result<Guard, Refusal> {
+    if let Some(ticket) = req.headers().get(TICKET_HEADER) {
+        let text = ticket.to_str().unwrap_or_default();
+        let ticket = text
+            .parse()
+            .map_err(|_| Refusal::unknown(Reason::BadTicket))?;
+        return Ok(Guard::Ticket(ticket));
+    }
+    let key = req.headers().get(KEY_HEADER).and_then(|v| v.to_str().ok());
+    let key = key.ok_or(Refusal::not_run(Reason::TicketRequired))?;
+    Ok(Guard::Key(key.to_owned()))
+}
+
+fn render(res: &mut Response, id: RequestId, answer: Answer) {
+    set_request_id(res, id);
+    res.status_code(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK));
+    let content_type = answer
+        .content_type
+        .and_then(|c| HeaderValue::from_str(&c).ok());
+    if let Some(content_type) = content_type {
+        res.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    res.body(answer.body);
+}
+
+/// Runs an idempotent call, at other replicas if need be.
+async fn run_idempotent(node: &Arc<Node>, call: ServiceCall) -> Result<Answer, Refusal> {
+    let mut attempts = Attempts::new(call.request);
+    loop {
+        let attempt = attempts.next(node).await?;
+        if !attempt.may_send() {
+            return Err(attempts.refusal(Reason::Stale));
+        }
+        match node
+            .endpoints
+            .call(attempt.choice.address, call.call.clone())
+            .await
+        {
+            Ok(answer) => {
+                answered(node, attempt, call.accepted);
+                return Ok(answer);
+            }
+            Err(error) => attempts.failed(node, attempt, &error).await?,
+        }
+    }
+}
+
+fn answered(node: &Node, attempt: Attempt, accepted: bulrushhoist_core::Time) {
+    let took = node.now().since(accepted);
+    attempt.end(Outcome::Answered(took));
+    node.metrics.on_answer("call", took.as_secs_f64());
+}
+
+impl Services {
+    /// Runs a call under a ticket, here or at the ticket's owner.
+    async fn run_ticket(
+        &self,
+        req: &Request,
+        ticket: &Ticket,
+        call: ServiceCall,
+    ) -> Result<Answer, Refusal> {
+        if ticket.incarnation != self.node.incarnation {
+            return self.forward(req, ticket, call).await;
+        }
+        let digest = digest(&call);
+        let presented = match self.node.tickets.present(ticket, digest).await {
+            Admission::Outcome(presented) => presented,
+            Admission::Run => {
+                self.node.note(
+                    call.request.id,
+                    format!("ticket {} dispatched", ticket.sequence),
+                );
+                let (node, sequence) = (Arc::clone(&self.node), ticket.sequence);
+                // The call goes on when its caller hangs up: the outcome is
+                // kept for the caller's repeat.
+                tokio::spawn(async move {
+                    let outcome = run_once(&node, call).await;
+                    node.tickets.finish(sequence, outcome);
+                });
+                let outcome = self.node.tickets.outcome(ticket.sequence).await;
+                match outcome {
+                    Some(presented) => presented,
+                    None => match self.node.tickets.present(ticket, digest).await {
+                        Admission::Outcome(presented) => presented,
+                        Admission::Run => unreachable!("a dispatched ticket runs once"),
+                    },
+                }
+            }
+        };
+        match presented {
+            Presented::Kept(answer) => Ok(answer),
+            Presented::Refused(refusal) => Err(refusal),
+            Presented::Run | Presented::Wait => Err(Refusal::unknown(Reason::EndpointFailed)),
+        }
+    }
+
+    async fn forward(
+        &self,
+        req: &Request,
+        ticket: &Ticket,
+        call: ServiceCall,
+    ) -> Result<Answer, Refusal> {
+        if req.headers().contains_key(FORWARDED_HEADER) {
+            return Err(Refusal::unknown(Reason::OwnerUnreachable));
+        }
+        let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
+        let request = Forwarded {
+            method: req.method().as_str(),
+            path,
+            headers: req.headers(),
+            body: call.call.body,
+        };
+        forward(&self.node, ticket, request).await
+    }
+
+    /// Binds a key to a ticket, then runs the call under that ticket.
+    async fn run_key(
+        &self,
+        req: &Request,
+        key: &str,
+        call: &mut ServiceCall,
+    ) -> Result<Answer, Refusal> {
+        let claim = self.claim(key, &call.request, digest(call)).await?;
+        let verdict = judge_claim(&claim, self.node.incarnation, digest(call));
+        call.request.id = claim.ticket.request_id();
+        match verdict {
+            ClaimVerdict::OtherRequest => Err(Refusal::unknown(Reason::TicketReused)),
+            ClaimVerdict::Ours => self.run_ticket(req, &claim.ticket, call.clone()).await,
+            ClaimVerdict::Theirs => self.forward(req, &claim.ticket, call.clone()).await,
+        }
+    }
+
+    /// Returns the claim of a key, creating it if there is none. Without an
+    /// answer from the platform nothing can be said of the key.
+    async fn claim(
+        &self,
+        key: &str,
+        request: &NewRequest,
+        digest: Digest,
+    ) -> Result<Claim, Refusal> {
+        let failed = Refusal::unknown(Reason::ClaimFailed);
+        if self.node.is_refusing() {
+            return Err(Refusal::unknown(Reason::Draining));
+        }
+        let object = ObjectKey::claim(&claim_key(&request.team, &request.workload, key));
+        let ticket = self.node.tickets.issue(1).pop().ok_or(failed)?;
+        let claim = Claim { ticket, digest };
+        self.node.metrics.on_platform_call(PlatformCall::Write);
+        match self.node.store.replace(&object, None, claim).await {
+            Ok(stored) => Ok(stored.stamped.body),
+            Err(StoreError::Platform(PlatformError::Conflict)) => {
+                self.node.metrics.on_platform_call(PlatformCall::Read);
+                let read = self.node.store.read::<Claim>(&object).await;
+                Ok(read.ok().flatten().ok_or(failed)?.stamped.body)
+            }
+            Err(_) => Err(failed),
+        }
+    }
+}
+
+fn digest(call: &ServiceCall) -> Digest {
+    let workload: &WorkloadName = &call.request.workload;
+    let path = format!("{workload}{}", call.call.path);
+    Digest::of_request(&call.call.method, &path, &call.call.body)
+}
+
+/// Runs a call that may run once. It goes to another replica only as long as
+/// no byte of it can have reached an endpoint that ran it.
+async fn run_once(node: &Arc<Node>, call: ServiceCall) -> TicketOutcome {
+    let ServiceCall {
+        request,
+        mut call,
+        accepted,
+        ..
+    } = call;
+    call.id = request.id;
+    let mut attempts = Attempts::new(request);
+    loop {
+        let attempt = match attempts.next(node).await {
+            Ok(attempt) => attempt,
+            Err(refusal) => return TicketOutcome::NotRun(refusal.reason),
+        };
+        if !attempt.may_send() {
+            return TicketOutcome::NotRun(Reason::Stale);
+        }
+        let endpoint = attempt.choice.address;
+        match node.endpoints.call(endpoint, call.clone()).await {
+            Ok(answer) => {
+                answered(node, attempt, accepted);
+                return TicketOutcome::Answered(answer);
+            }
+            Err(error @ (EndpointError::Connect { .. } | EndpointError::Refused)) => {
+                if let Err(refusal) = attempts.failed(node, attempt, &error).await {
+                    return TicketOutcome::NotRun(refusal.reason);
+                }
+            }
+            Err(error) => {
+                node.note(call.id, format!("{}: {error}", attempt.choice.leader));
+                let settled = settle(node, endpoint, call.id, accepted + call.timeout).await;
+                match settled {
+                    Some(answer) => {
+                        answered(node, attempt, accepted);
+                        return TicketOutcome::Answered(answer);
+                    }
+                    None => {
+                        attempt.fail(&error).await;
+                        return TicketOutcome::Lost;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Asks the endpoint on a new connection what became of a call.
+async fn settle(
+    node: &Node,
+    endpoint: std::net::SocketAddr,
+    id: RequestId,
+    deadline: bulrushhoist_core::Time,
+) -> Option<Answer> {
+    let mut failures = 0;
+    while node.now() < deadline && failures < SETTLE_FAILURES {
+        match node.endpoints.settle(endpoint, id).await {
+            Ok(Settled::Done(answer)) => return Some(answer),
+            Ok(Settled::Running) => {}
+            // The call may still be on its way there.
+            Ok(Settled::Unseen) | Err(_) => failures += 1,
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+    None
+}
--- /dev/null
+++ b/crates/daemon/src/controllers.rs
@@ -0,0 +1,43 @@
+//! Controllers: loops that keep this daemon and its data centre in shape.
+
+mod gossip;
+mod peer_server;
+mod placement;
+mod probe;
+mod register;
+mod sync;
+
+pub(crate) use gossip::{PeerChannels, announce_strikes};
+pub(crate) use peer_server::serve_peers;
+pub(crate) use register::{join, leave, set_phase};
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use crate::node::Node;
+
+/// Time between two looks at the queues.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Starts every controller.
+pub(crate) fn start(node: &Arc<Node>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(sync::run(Arc::clone(node)));
+    tasks.spawn(gossip::run(Arc::clone(node)));
+    tasks.spawn(probe::run(Arc::clone(node)));
+    tasks.spawn(placement::run(Arc::clone(node)));
+    tasks.spawn(register::run(Arc::clone(node)));
+    tasks.spawn(tick(Arc::clone(node)));
+    tasks
+}
+
+async fn tick(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        node.tick();
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,16 @@
+//! Client for endpoints: model engines and plain services.
+//!
+//! [`EndpointApi`] is the edge: one implementation per dialect. The client
+//! never sends a request twice of its own accord; whether a failed call may be
+//! repeated is told by [`EndpointError`] and decided elsewhere.
+
+mod api;
+mod http;
+mod stream;
+
+pub use api::{
+    AnswerStream, CallRequest, CompletionRequest, EndpointApi, EndpointError, OrderReply, Settled,
+    StreamEvent,
+};
+pub use http::{HttpEndpointSettings, HttpEndpoints};
+pub use stream::EventParser;
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,77 @@
+//! Stand-in of the platform: object API and lagging VM list.
+
+mod server;
+mod state;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bulrushhoist_core::VmRecord;
+use salvo::Server;
+use salvo::conn::{Listener as _, TcpListener};
+use salvo::server::ServerHandle;
+
+pub use state::PlatformFaults;
+use state::State;
+
+/// A running stand-in of the platform.
+pub struct PlatformStandin {
+    address: SocketAddr,
+    state: Arc<State>,
+    handle: ServerHandle,
+}
+
+impl PlatformStandin {
+    /// Starts the stand-in; port 0 picks a free one.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let acceptor = TcpListener::new(address)
+            .try_bind()
+            .await
+            .map_err(io::Error::other)?;
+        let address = acceptor.inner().local_addr()?;
+        let state = Arc::new(State::default());
+        let server = Server::new(acceptor).disable_fuse();
+        let handle = server.handle();
+        tokio::spawn(server.serve(server::router(&state)));
+        Ok(Self {
+            address,
+            state,
+            handle,
+        })
+    }
+
+    /// Returns the address that the stand-in listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets the VMs that exist; the list shows them after its lag.
+    pub fn set_vms(&self, vms: Vec<VmRecord>) {
+        self.state.set_vms(vms);
+    }
+
+    /// Sets the faults from here on.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the calls answered so far, a waiting watch as one.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.calls()
+    }
+
+    /// Returns the writes that took effect so far.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.state.writes()
+    }
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        self.handle.stop_forceful();
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,148 @@
+//! Starts the real programs as processes and ends them.
+
+use std::io::{BufRead as _, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Time that a condition gets to come true.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Token of the team that the tests call as.
+pub(crate) const TOKEN: &str = "nashville-example-token";
+
+/// Returns the path of a program of this workspace.
+pub(crate) fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().expect("a test knows its own path");
+    path.pop();
+    path.pop();
+    path.join(name)
+}
+
+/// Returns an address whose port was free a moment ago.
+pub(crate) fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+/// A process that ends with its owner.
+pub(crate) struct Process {
+    pub(crate) child: Child,
+}
+
+impl Process {
+    pub(crate) fn start(program: &str, arguments: &[&str]) -> Self {
+        let child = Command::new(self::program(program))
+            .args(arguments)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program was built");
+        Self { child }
+    }
+
+    /// Starts a program and returns the address that ends its first line.
+    pub(crate) fn start_listening(program: &str, arguments: &[&str]) -> (Self, SocketAddr) {
+        let mut child = Command::new(self::program(program))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program was built");
+        let stdout = child.stdout.take().expect("the output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the program prints its address");
+        let address = line
+            .split_whitespace()
+            .last()
+            .expect("the line ends with an address");
+        let address = address.parse().expect("the line ends with an address");
+        (Self { child }, address)
+    }
+
+    /// Sends a signal by name, for example `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(status.is_ok_and(|s| s.success()), "cannot send {name}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A daemon process with its addresses.
+pub(crate) struct DaemonProcess {
+    pub(crate) process: Process,
+    pub(crate) caller: SocketAddr,
+    pub(crate) operator: SocketAddr,
+}
+
+impl DaemonProcess {
+    pub(crate) fn start(platform: SocketAddr, data_centre: &str) -> Self {
+        let (caller, peer, operator) = (free_address(), free_address(), free_address());
+        let settings = format!(
+            "data-centre = \"{data_centre}\"\nplatform = \"{platform}\"\n\
+             [listen]\ncaller = \"{caller}\"\npeer = \"{peer}\"\noperator = \"{operator}\"\n\
+             [security]\npeer-key = \"a-key-for-these-tests\"\n\
+             operator-token = \"a-token-for-these-tests\"\n"
+        );
+        let name = format!("bulrushhoist-{}-{}.toml", std::process::id(), caller.port());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, settings).expect("the temporary directory is writable");
+        let path = file
+            .to_str()
+            .expect("the temporary directory has a plain name");
+        let process = Process::start("bulrushhoistd", &[path]);
+        Self {
+            process,
+            caller,
+            operator,
+        }
+    }
+}
+
+/// Runs the operators' tool; returns its exit code and output.
+pub(crate) fn operate(platform: SocketAddr, arguments: &[&str]) -> (i32, String) {
+    let output = Command::new(program("bulrushhoist"))
+        .args(arguments)
+        .env("BULRUSHHOIST_PLATFORM", platform.to_string())
+        .env("BULRUSHHOIST_OPERATOR_TOKEN", "a-token-for-these-tests")
+        .output()
+        .expect("the program was built");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
+    (output.status.code().unwrap_or(-1), text)
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn eventually<F, T>(what: &str, mut condition: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if let Some(found) = condition().await {
+            return found;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("not within {PATIENCE:?}: {what}");
+}
+
+/// Returns the directory of a small deployment: 2 data centres, 2 replicas of
+/// 4 VMs each, and a service.
+pub(crate) fn small_deployment() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/small")
+}
