Judge configuration, groups and cold endpoints by fuzzed worlds

Cause: the decisions were only exercised by three whole-process tests.

Change: crates/oracle drives the daemon's own state machines in virtual time with drawn faults, and compares them with ledgers. A newcomer among the entries now uses a replica only after a report that it asked for after joining: before, a report from its joining time could be older than the others' last start.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,7 +56,7 @@
 pub use refusal::{Execution, Reason, Refusal, RetryReason};
 pub use register::{DaemonPhase, Register, RegisteredDaemon};
 pub use retry::{RetryBudget, RetryBudgetSettings};
-pub use route::{Choice, ReplicaKey, Router, RouterPolicy};
+pub use route::{Choice, ReplicaKey, Router, RouterPolicy, Standing};
 pub use service::{DataCentreService, ServiceState};
 pub use tables::{Problem, Problems, TableReader, parse_document};
 pub use ticket::{
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -18,6 +18,7 @@
 use crate::ids::{DataCentreName, VmName, WorkloadName, stable_hash};
 use crate::limit::{LimitSettings, ReplicaLimit, share_of};
 use crate::time::Time;
+use crate::vm::VmStatus;
 
 /// Replicas looked at for the sake of a cached prefix.
 const PREFIX_SAMPLES: usize = 2;
@@ -56,6 +57,18 @@
     Random,
 }
 
+/// How far the other entries have made room for this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// They may not know of this entry: it uses no replica.
+    Joining,
+    /// They know since then, but may have requests in flight beyond their new
+    /// shares: what endpoints report as running counts against this entry.
+    Newcomer(Time),
+    /// Their requests from before have ended.
+    Settled,
+}
+
 /// What the router has to know of a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct ReplicaSpec {
@@ -86,7 +99,7 @@
     spec: ReplicaSpec,
     limit: ReplicaLimit,
     in_flight: u32,
-    reported: u32,
+    reported: Option<u32>,
     serving_until: Time,
     slot: Option<usize>,
 }
@@ -94,24 +107,24 @@
 impl Replica {
     /// Requests that this entry may have in flight here.
     ///
-    /// A newcomer among the entries also counts what the endpoint reports as
-    /// running, since the others may not have made room for it yet.
-    fn allowance(&self, newcomer: bool) -> u32 {
+    /// A newcomer also counts what the endpoint reported as running, itself
+    /// included, since it may know of no better bound for the others.
+    fn allowance(&self, standing: Standing) -> u32 {
         let total = self.limit.total();
         let share = share_of(total, self.spec.rank, self.spec.entries);
-        if !newcomer {
-            return share;
+        match (standing, self.reported) {
+            (Standing::Settled, _) => share,
+            (Standing::Newcomer(_), Some(running)) => share.min(total.saturating_sub(running)),
+            (Standing::Newcomer(_), None) | (Standing::Joining, _) => 0,
         }
-        let others = self.reported.saturating_sub(self.in_flight);
-        share.min(total.saturating_sub(others))
     }
 
     fn is_serving(&self, now: Time) -> bool {
         self.spec.in_service && now < self.serving_until
     }
 
-    fn has_room(&self, newcomer: bool) -> bool {
-        self.spec.in_service && self.in_flight < self.allowance(newcomer)
+    fn has_room(&self, standing: Standing) -> bool {
+        self.spec.in_service && self.in_flight < self.allowance(standing)
     }
 
     /// Estimated seconds until the first token of one more request.
@@ -119,7 +132,8 @@
         let target = self.spec.limits.target.as_secs_f64();
         let base = self.limit.latency_s().unwrap_or(target / 4.0);
         let saved = if cached { PREFIX_SAVING } else { 0.0 };
-        let load = f64::from(self.in_flight + 1) / f64::from(self.allowance(false).max(1));
+        let share = share_of(self.limit.total(), self.spec.rank, self.spec.entries);
+        let load = f64::from(self.in_flight + 1) / f64::from(share.max(1));
         base * (1.0 - saved + load) + 2.0 * self.spec.one_way_delay.as_secs_f64()
     }
 }
@@ -135,7 +149,7 @@
 #[derive(Debug)]
 pub struct Router {
     policy: RouterPolicy,
-    newcomer: bool,
+    standing: Standing,
     replicas: HashMap<ReplicaKey, Replica>,
     pools: HashMap<WorkloadName, Pool>,
 }
@@ -146,18 +160,18 @@
     pub fn new(policy: RouterPolicy) -> Self {
         Self {
             policy,
-            newcomer: true,
+            standing: Standing::Joining,
             replicas: HashMap::new(),
             pools: HashMap::new(),
         }
     }
 
-    /// Sets whether other entries may not yet have made room for this one.
-    pub fn set_newcomer(&mut self, newcomer: bool) {
-        if self.newcomer == newcomer {
+    /// Sets how far the other entries have made room for this one.
+    pub fn set_standing(&mut self, standing: Standing) {
+        if self.standing == standing {
             return;
         }
-        self.newcomer = newcomer;
+        self.standing = standing;
         let keys: Vec<_> = self.replicas.keys().cloned().collect();
         for key in &keys {
             self.refresh(key);
@@ -186,7 +200,7 @@
                 other => Replica {
                     limit: ReplicaLimit::new(spec.limits),
                     in_flight: other.map_or(0, |o| o.in_flight),
-                    reported: 0,
+                    reported: None,
                     serving_until: Time::ZERO,
                     slot: None,
                     spec,
@@ -213,13 +227,21 @@
         }
     }
 
-    /// Takes an endpoint's report of its load.
-    pub fn on_report(&mut self, key: &ReplicaKey, epoch: u64, served: u64, running: u32) {
-        if let Some(replica) = self.replicas.get_mut(key) {
-            replica.limit.on_report(epoch, served);
-            replica.reported = running;
-            self.refresh(key);
+    /// Takes an endpoint's report that answers a probe sent at `sent`.
+    pub fn on_report(&mut self, key: &ReplicaKey, sent: Time, report: &VmStatus) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.limit.on_report(report.epoch, report.served);
+        let counts = match self.standing {
+            Standing::Joining => false,
+            Standing::Newcomer(since) => sent >= since,
+            Standing::Settled => true,
+        };
+        if counts {
+            replica.reported = Some(report.running);
         }
+        self.refresh(key);
     }
 
     /// Returns the limit of a replica, to feed observations into.
@@ -270,7 +292,7 @@
     pub fn allowance(&self, key: &ReplicaKey) -> u32 {
         self.replicas
             .get(key)
-            .map_or(0, |r| r.allowance(self.newcomer))
+            .map_or(0, |r| r.allowance(self.standing))
     }
 
     /// Returns whether a replica is in service and has fresh evidence.
@@ -286,7 +308,7 @@
         self.replicas
             .values()
             .filter(serving)
-            .map(|r| r.allowance(self.newcomer))
+            .map(|r| r.allowance(self.standing))
             .sum()
     }
 
@@ -343,7 +365,7 @@
         };
         match self.policy {
             RouterPolicy::Affinity => replica.cost(cached),
-            RouterPolicy::LaggingReport => f64::from(replica.reported),
+            RouterPolicy::LaggingReport => f64::from(replica.reported.unwrap_or(0)),
             RouterPolicy::Random => rng.random(),
         }
     }
@@ -352,7 +374,7 @@
         let Some(replica) = self.replicas.get(key) else {
             return false;
         };
-        replica.is_serving(now) && replica.has_room(self.newcomer)
+        replica.is_serving(now) && replica.has_room(self.standing)
     }
 
     /// Puts a replica on or off its list of replicas with room.
@@ -360,7 +382,7 @@
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
-        let room = replica.has_room(self.newcomer);
+        let room = replica.has_room(self.standing);
         if room == replica.slot.is_some() {
             return;
         }
--- a/crates/daemon/src/controllers/register.rs
+++ b/crates/daemon/src/controllers/register.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushhoist_core::{DaemonPhase, MemberId, ObjectKey, Register};
+use bulrushhoist_core::{DaemonPhase, MemberId, ObjectKey, Register, Standing};
 use bulrushhoist_platform::StoreError;
 use slog::{info, warn};
 
@@ -42,13 +42,22 @@
     if !alone {
         tokio::time::sleep(node.settings.timing.freshness).await;
     }
+    let standing = if alone {
+        Standing::Settled
+    } else {
+        Standing::Newcomer(node.now())
+    };
+    node.core().dispatcher.router_mut().set_standing(standing);
     node.set_joined();
     info!(node.log, "joined"; "member" => %node.id, "incarnation" => %node.incarnation);
     while set_phase(&node, DaemonPhase::Active).await.is_err() {
         tokio::time::sleep(PAUSE).await;
     }
-    tokio::time::sleep(if alone { Duration::ZERO } else { NEWCOMER }).await;
-    node.core().dispatcher.router_mut().set_newcomer(false);
+    tokio::time::sleep(NEWCOMER).await;
+    node.core()
+        .dispatcher
+        .router_mut()
+        .set_standing(Standing::Settled);
 }
 
 /// Changes this daemon's phase in the register.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -207,17 +207,14 @@
     pub(crate) fn take_report(&self, vm: &VmName, sent: Time, status: VmStatus) {
         let view = self.view.load();
         let mut core = self.core();
-        let (epoch, served, running) = (status.epoch, status.served, status.running);
-        core.evidence.record(vm, sent, status);
+        core.evidence.record(vm, sent, status.clone());
         let Some((allocation, group)) = view.group_of(vm) else {
             return;
         };
         refresh_group(&mut core, self.now(), allocation, group);
         if group.members.first().is_some_and(|m| m.vm == *vm) {
             let key = replica_key(allocation, group);
-            core.dispatcher
-                .router_mut()
-                .on_report(&key, epoch, served, running);
+            core.dispatcher.router_mut().on_report(&key, sent, &status);
         }
     }
 
--- /dev/null
+++ b/crates/oracle/src/cold.rs
@@ -0,0 +1,449 @@
+//! Cold endpoints: entries that join, learn of each other late and all send to
+//! one fresh replica.
+//!
+//! The oracle: the requests that run on the endpoint never exceed what it can
+//! carry, whatever the entries think of each other. Every entry that takes
+//! work knows the register of at most the freshness bound ago, as the
+//! freshness rule provides.
+
+use std::time::Duration;
+
+use bulrushhoist_core::{
+    DaemonPhase, DataCentreName, DataCentreService, Deployment, Dispatcher, DispatcherSettings,
+    Event, Fencing, Fingerprint, Group, GroupNumber, GroupPhase, Incarnation, LimitSettings,
+    Member, MemberId, NewRequest, Outcome, Register, RegisteredDaemon, ReplicaKey, ReplicaLimit,
+    ReplicaView, RequestId, SourceFile, Standing, Time, VmPhase, VmStatus, check_files,
+};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_oneof};
+use proptest::sample::Index;
+use smallvec::SmallVec;
+
+/// Freshness bound: an entry that takes work knows the register of then.
+const LIFE: Duration = Duration::from_secs(3);
+/// Longest run of a request.
+const LONGEST_RUN: Duration = Duration::from_secs(20);
+/// Time for which an entry counts as a newcomer.
+const NEWCOMER: Duration = Duration::from_secs(30);
+/// Entries at most.
+const ENTRIES_MAX: usize = 9;
+
+const FILE: &str = r#"
+[data-centres.east]
+region = "south"
+
+[models.bench]
+version = "1"
+vms-per-replica = 1
+cold-limit = 3
+warm-limit = 40
+ramp-requests = 4
+checks-fencing = true
+
+[models.bench.replicas]
+east = 1
+
+[teams.shop]
+max-in-flight = 1000
+token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+"#;
+
+/// One step of the world.
+#[derive(Clone, Debug)]
+pub enum ColdAction {
+    /// Time passes, in milliseconds.
+    Advance(u64),
+    /// An entry registers.
+    Register,
+    /// An entry that drained deregisters.
+    Leave(Index),
+    /// An entry learns the newest register.
+    Learn(Index),
+    /// Callers send some requests to an entry.
+    Send(Index, u8),
+    /// A request ends.
+    End(Index),
+    /// An entry's probe is sent and answered; the report arrives later.
+    Probe(Index),
+    /// The endpoint restarts cold; its requests are lost.
+    Restart,
+}
+
+/// Draws a run of the world.
+pub fn cold_actions() -> impl Strategy<Value = Vec<ColdAction>> {
+    let index = || any::<Index>();
+    let action = prop_oneof![
+        4 => (1_u64..2_000).prop_map(ColdAction::Advance),
+        2 => Just(ColdAction::Register),
+        1 => index().prop_map(ColdAction::Leave),
+        4 => index().prop_map(ColdAction::Learn),
+        8 => (index(), 1_u8..12).prop_map(|(i, n)| ColdAction::Send(i, n)),
+        6 => index().prop_map(ColdAction::End),
+        8 => index().prop_map(ColdAction::Probe),
+        1 => Just(ColdAction::Restart),
+    ];
+    vec(action, 1..300)
+}
+
+struct Entry {
+    id: MemberId,
+    dispatcher: Dispatcher,
+    known: u64,
+    registered: Time,
+    joined: Option<Time>,
+}
+
+struct Running {
+    entry: MemberId,
+    id: RequestId,
+    since: Time,
+    epoch: u64,
+}
+
+/// The world and its ledger.
+pub struct ColdWorld {
+    now: Time,
+    deployment: Deployment,
+    home: DataCentreName,
+    group: Group,
+    entries: Vec<Entry>,
+    registers: Vec<(Time, Register)>,
+    running: Vec<Running>,
+    limits: LimitSettings,
+    epoch: u64,
+    served: u64,
+    next: u64,
+}
+
+impl ColdWorld {
+    /// A world with one cold replica and no entries.
+    #[must_use]
+    pub fn new() -> Self {
+        let files = [SourceFile {
+            name: "cold.toml".into(),
+            text: FILE.into(),
+        }];
+        let deployment = check_files(&files).expect("the world's own file is sound");
+        let workload = deployment
+            .workloads
+            .values()
+            .next()
+            .expect("the file declares one");
+        assert_eq!(workload.fencing, Fencing::Checked);
+        let limits = LimitSettings {
+            cold: workload.cold_limit,
+            warm: workload.warm_limit,
+            ramp: workload.ramp_requests,
+            target: workload.first_token,
+        };
+        let member = Member {
+            vm: "east-1".parse().expect("a sound name"),
+            address: "127.0.0.1:1".parse().expect("a sound address"),
+        };
+        let group = Group {
+            number: GroupNumber(1),
+            workload: workload.name.clone(),
+            version: workload.version.clone(),
+            domain: None,
+            composition: bulrushhoist_core::FencingNumber::new(1),
+            members: SmallVec::from_iter([member]),
+            phase: GroupPhase::Active,
+            replacement: None,
+        };
+        Self {
+            now: Time::from_millis(100_000),
+            home: "east".parse().expect("a sound name"),
+            deployment,
+            group,
+            entries: Vec::new(),
+            registers: vec![(Time::ZERO, Register::default())],
+            running: Vec::new(),
+            limits,
+            epoch: 1,
+            served: 0,
+            next: 1,
+        }
+    }
+
+    fn key(&self) -> ReplicaKey {
+        ReplicaKey {
+            data_centre: self.home.clone(),
+            number: self.group.number,
+        }
+    }
+
+    /// Takes one step and checks the oracle; an error describes the violation.
+    pub fn step(&mut self, action: &ColdAction) -> Result<(), String> {
+        match action {
+            ColdAction::Advance(ms) => self.advance(Duration::from_millis(*ms)),
+            ColdAction::Register => self.register(),
+            ColdAction::Leave(at) => self.leave(*at),
+            ColdAction::Learn(at) => {
+                if let Some(at) = pick(*at, self.entries.len()) {
+                    self.learn(at);
+                }
+            }
+            ColdAction::Send(at, count) => {
+                if let Some(at) = pick(*at, self.entries.len()) {
+                    self.send(at, *count);
+                }
+            }
+            ColdAction::End(at) => {
+                if let Some(at) = pick(*at, self.running.len()) {
+                    self.end(at);
+                }
+            }
+            ColdAction::Probe(at) => {
+                if let Some(at) = pick(*at, self.entries.len()) {
+                    self.probe(at);
+                }
+            }
+            ColdAction::Restart => self.restart(),
+        }
+        self.check()
+    }
+
+    fn advance(&mut self, span: Duration) {
+        self.now = self.now + span;
+        for at in 0..self.entries.len() {
+            self.keep_fresh(at);
+            self.keep_standing(at);
+        }
+        while let Some(at) = self
+            .running
+            .iter()
+            .position(|r| self.now.since(r.since) > LONGEST_RUN)
+        {
+            self.end(at);
+        }
+    }
+
+    /// The freshness rule: who did not learn for too long learns or stops. The
+    /// world lets it learn at the last moment.
+    fn keep_fresh(&mut self, at: usize) {
+        let overdue = self
+            .registers
+            .iter()
+            .position(|(stored, _)| self.now.since(*stored) >= LIFE)
+            .map(|_| {
+                self.registers
+                    .iter()
+                    .filter(|(s, _)| self.now.since(*s) >= LIFE)
+                    .count()
+            });
+        let due = overdue.unwrap_or(1) as u64 - 1;
+        if self.entries[at].known < due {
+            self.learn(at);
+        }
+    }
+
+    fn keep_standing(&mut self, at: usize) {
+        let entry = &mut self.entries[at];
+        match entry.joined {
+            None if self.now.since(entry.registered) >= LIFE => {
+                entry.joined = Some(self.now);
+                entry
+                    .dispatcher
+                    .router_mut()
+                    .set_standing(Standing::Newcomer(self.now));
+                entry
+                    .dispatcher
+                    .set_fresh_until(Time::from_micros(u64::MAX));
+            }
+            Some(joined) if self.now.since(joined) >= NEWCOMER => {
+                entry
+                    .dispatcher
+                    .router_mut()
+                    .set_standing(Standing::Settled);
+            }
+            _ => {}
+        }
+    }
+
+    fn register(&mut self) {
+        if self.entries.len() >= ENTRIES_MAX {
+            return;
+        }
+        let id = MemberId::new(self.next);
+        let port = u16::try_from(self.next).unwrap_or(u16::MAX);
+        self.next += 1;
+        let mut register = self.newest().clone();
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+        register.insert(RegisteredDaemon {
+            id,
+            incarnation: Incarnation::from(u128::from(id.get())),
+            data_centre: self.home.clone(),
+            caller: address,
+            peer: address,
+            operator: address,
+            phase: DaemonPhase::Joining,
+        });
+        self.registers.push((self.now, register));
+        let settings = DispatcherSettings {
+            seed: id.get(),
+            ..DispatcherSettings::default()
+        };
+        let dispatcher = Dispatcher::new(settings, id);
+        self.entries.push(Entry {
+            id,
+            dispatcher,
+            known: 0,
+            registered: self.now,
+            joined: None,
+        });
+        self.learn(self.entries.len() - 1);
+    }
+
+    fn leave(&mut self, at: Index) {
+        let Some(at) = pick(at, self.entries.len()) else {
+            return;
+        };
+        let id = self.entries[at].id;
+        if self.running.iter().any(|r| r.entry == id) {
+            return;
+        }
+        self.entries.remove(at);
+        let mut register = self.newest().clone();
+        register.remove(id);
+        self.registers.push((self.now, register));
+    }
+
+    fn newest(&self) -> &Register {
+        &self.registers.last().expect("there is always one").1
+    }
+
+    fn learn(&mut self, at: usize) {
+        let register = self.newest().clone();
+        let key = self.key();
+        let entry = &mut self.entries[at];
+        entry.known = self.registers.len() as u64 - 1;
+        let view = ReplicaView {
+            data_centre: &self.home,
+            group: &self.group,
+        };
+        let service = DataCentreService::default();
+        let dispatcher = &mut entry.dispatcher;
+        dispatcher.reconfigure(&self.deployment, &service, &register, &self.home, [view]);
+        let always = Some(Time::from_micros(u64::MAX));
+        dispatcher.router_mut().set_serving(&key, always);
+    }
+
+    fn send(&mut self, at: usize, count: u8) {
+        for _ in 0..count {
+            let id = RequestId::from(u128::from(self.next));
+            self.next += 1;
+            let request = NewRequest {
+                id,
+                team: "shop".parse().expect("a sound name"),
+                workload: self.group.workload.clone(),
+                prefix: self.next,
+                fingerprint: Fingerprint::new(self.next),
+                deadline: self.now,
+                avoid: SmallVec::new(),
+            };
+            let entry = &mut self.entries[at];
+            let events = entry.dispatcher.submit(self.now, request);
+            let entry = entry.id;
+            self.note_started(entry, &events);
+        }
+    }
+
+    fn note_started(&mut self, entry: MemberId, events: &[Event]) {
+        for event in events {
+            if let Event::Start(id, _) = event {
+                let (since, epoch) = (self.now, self.epoch);
+                self.running.push(Running {
+                    entry,
+                    id: *id,
+                    since,
+                    epoch,
+                });
+            }
+        }
+    }
+
+    fn end(&mut self, at: usize) {
+        let run = self.running.swap_remove(at);
+        if run.epoch == self.epoch {
+            self.served += 1;
+        }
+        let Some(entry) = self.entries.iter_mut().find(|e| e.id == run.entry) else {
+            return;
+        };
+        let answered = Outcome::Answered(Duration::from_millis(50));
+        let events = entry.dispatcher.finish(self.now, run.id, answered);
+        self.note_started(run.entry, &events);
+    }
+
+    fn probe(&mut self, at: usize) {
+        let key = self.key();
+        let report = VmStatus {
+            vm: self.group.members[0].vm.clone(),
+            epoch: self.epoch,
+            phase: VmPhase::Ready,
+            group: Some(self.group.number),
+            fencing: self.group.composition,
+            composition: self.group.composition,
+            rank: 0,
+            workload: Some(self.group.workload.clone()),
+            version: Some(self.group.version.clone()),
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            served: self.served,
+        };
+        self.entries[at]
+            .dispatcher
+            .router_mut()
+            .on_report(&key, self.now, &report);
+    }
+
+    /// A restart is noticed: the group is out of use until every entry has a
+    /// report of the new run, as evidence and mismatch provide.
+    fn restart(&mut self) {
+        self.epoch += 1;
+        self.served = 0;
+        for run in std::mem::take(&mut self.running) {
+            if let Some(entry) = self.entries.iter_mut().find(|e| e.id == run.entry) {
+                entry
+                    .dispatcher
+                    .finish(self.now, run.id, Outcome::Lost(None));
+            }
+        }
+        let key = self.key();
+        for at in 0..self.entries.len() {
+            self.probe(at);
+            let always = Some(Time::from_micros(u64::MAX));
+            self.entries[at]
+                .dispatcher
+                .router_mut()
+                .set_serving(&key, always);
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let mut truth = ReplicaLimit::new(self.limits);
+        truth.on_report(self.epoch, self.served);
+        let (running, most) = (self.running.len(), truth.total() as usize);
+        if running > most {
+            return Err(format!(
+                "{running} requests run, the endpoint carries {most}"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Returns the requests that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+}
+
+impl Default for ColdWorld {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn pick(at: Index, len: usize) -> Option<usize> {
+    (len > 0).then(|| at.index(len))
+}
--- /dev/null
+++ b/crates/oracle/src/groups.rs
@@ -0,0 +1,526 @@
+//! Replica groups: controllers, endpoints, a platform and an entry.
+//!
+//! The oracle: no VM is in two groups; the entry sends to a group only if every
+//! member was up and reported the group's composition at most the evidence
+//! bound ago; and once faults end, every declared replica serves again.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bulrushhoist_core::{
+    Allocation, Deployment, EvidenceBook, FencingNumber, Incarnation, Lease, LeaseSettings,
+    LeaseStep, LeaseWatch, Member, MemberId, Order, OrderKind, PlacementSettings, Plan, Planner,
+    Situation, SourceFile, Time, VmName, VmPhase, VmRecord, VmStatus, check_files,
+};
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any, prop_oneof};
+use proptest::sample::Index;
+
+/// Time for which a report counts.
+const EVIDENCE: Duration = Duration::from_secs(2);
+/// Time that weights take to load.
+const LOAD: Duration = Duration::from_millis(1_500);
+/// Longest life of an order.
+const ORDER_LIFE: Duration = Duration::from_secs(5);
+/// Fabric domains.
+const DOMAINS: usize = 3;
+/// VMs in each domain.
+const VMS_PER_DOMAIN: usize = 6;
+/// Declared replicas, of two VMs each.
+const REPLICAS: usize = 4;
+/// Controllers that stand by.
+const CONTROLLERS: usize = 2;
+/// Time to recover once every fault has ended.
+const RECOVERY: Duration = Duration::from_secs(90);
+/// Step of the recovery.
+const RECOVERY_STEP: Duration = Duration::from_millis(500);
+
+const FILE: &str = r#"
+[data-centres.east]
+region = "south"
+
+[models.bench]
+version = "1"
+vms-per-replica = 2
+cold-limit = 3
+warm-limit = 40
+checks-fencing = true
+
+[models.bench.replicas]
+east = 4
+"#;
+
+/// One step of the world.
+#[derive(Clone, Debug)]
+pub enum GroupAction {
+    /// Time passes, in milliseconds.
+    Advance(u64),
+    /// A controller probes every VM that it reaches.
+    Survey(usize),
+    /// The entry probes every VM.
+    EntrySurvey,
+    /// A controller takes or renews its lease.
+    RenewLease(usize),
+    /// A controller plans; its write or orders leave at once or later.
+    Plan(usize, bool),
+    /// A delayed write reaches the platform.
+    LateWrite,
+    /// A delayed order reaches its endpoint.
+    LateOrder(Index),
+    /// A VM dies and loses everything.
+    Die(Index),
+    /// A dead or frozen VM works again.
+    Return(Index),
+    /// A VM stops answering but keeps everything.
+    Freeze(Index),
+    /// The platform lists a VM as leaving, or no longer.
+    Leaving(Index, bool),
+    /// A whole fabric domain goes dark.
+    Dark(usize),
+    /// A controller loses the endpoints, or reaches them again.
+    Partition(usize, bool),
+    /// The platform goes down or comes back.
+    Platform(bool),
+    /// A controller is replaced by one with empty memory.
+    Replace(usize),
+}
+
+/// Draws a run of the world.
+pub fn group_actions() -> impl Strategy<Value = Vec<GroupAction>> {
+    let index = || any::<Index>();
+    let controller = || 0..CONTROLLERS;
+    let action = prop_oneof![
+        10 => (50_u64..1_500).prop_map(GroupAction::Advance),
+        10 => controller().prop_map(GroupAction::Survey),
+        8 => proptest::prelude::Just(GroupAction::EntrySurvey),
+        6 => controller().prop_map(GroupAction::RenewLease),
+        14 => (controller(), proptest::bool::weighted(0.2))
+            .prop_map(|(c, late)| GroupAction::Plan(c, late)),
+        2 => proptest::prelude::Just(GroupAction::LateWrite),
+        4 => index().prop_map(GroupAction::LateOrder),
+        2 => index().prop_map(GroupAction::Die),
+        3 => index().prop_map(GroupAction::Return),
+        1 => index().prop_map(GroupAction::Freeze),
+        1 => (index(), any::<bool>()).prop_map(|(i, l)| GroupAction::Leaving(i, l)),
+        1 => (0..DOMAINS).prop_map(GroupAction::Dark),
+        1 => (controller(), any::<bool>()).prop_map(|(c, p)| GroupAction::Partition(c, p)),
+        1 => any::<bool>().prop_map(GroupAction::Platform),
+        1 => controller().prop_map(GroupAction::Replace),
+    ];
+    vec(action, 20..400)
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Power {
+    Up,
+    Frozen,
+    Dead,
+}
+
+struct Vm {
+    record: VmRecord,
+    status: VmStatus,
+    power: Power,
+    loaded_at: Time,
+    last_up: Time,
+    /// What the VM reported and when, newest last.
+    history: Vec<(Time, VmStatus)>,
+}
+
+struct Controller {
+    lease: LeaseWatch,
+    planner: Planner,
+    evidence: EvidenceBook,
+    partitioned: bool,
+}
+
+struct LateOrder {
+    sent: Time,
+    member: Member,
+    order: Order,
+}
+
+struct LateWrite {
+    expected: u64,
+    next: Allocation,
+}
+
+/// The world and its ledger.
+pub struct GroupWorld {
+    now: Time,
+    checks_fencing: bool,
+    deployment: Deployment,
+    vms: Vec<Vm>,
+    controllers: Vec<Controller>,
+    entry: EvidenceBook,
+    allocation: Allocation,
+    version: u64,
+    lease: Option<Lease>,
+    up: bool,
+    late_orders: Vec<LateOrder>,
+    late_writes: Vec<LateWrite>,
+    next_incarnation: u128,
+}
+
+impl GroupWorld {
+    /// A world of empty VMs, whose endpoints check fencing numbers or not.
+    #[must_use]
+    pub fn new(checks_fencing: bool) -> Self {
+        let files = [SourceFile {
+            name: "groups.toml".into(),
+            text: FILE.into(),
+        }];
+        let deployment = check_files(&files).expect("the world's own file is sound");
+        let home = "east".parse().expect("a sound name");
+        let mut world = Self {
+            now: Time::from_millis(100_000),
+            checks_fencing,
+            deployment,
+            vms: Vec::new(),
+            controllers: Vec::new(),
+            entry: EvidenceBook::new(EVIDENCE),
+            allocation: Allocation::empty(home),
+            version: 0,
+            lease: None,
+            up: true,
+            late_orders: Vec::new(),
+            late_writes: Vec::new(),
+            next_incarnation: 1,
+        };
+        for at in 0..DOMAINS * VMS_PER_DOMAIN {
+            let vm = world.fresh_vm(at);
+            world.vms.push(vm);
+        }
+        for at in 0..CONTROLLERS {
+            let controller = world.fresh_controller(at);
+            world.controllers.push(controller);
+        }
+        world
+    }
+
+    fn fresh_vm(&self, at: usize) -> Vm {
+        let name: VmName = format!("v{at}").parse().expect("a sound name");
+        let port = u16::try_from(at + 1).unwrap_or(u16::MAX);
+        let record = VmRecord {
+            vm: name.clone(),
+            address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
+            data_centre: self.allocation.data_centre.clone(),
+            domain: format!("d{}", at / VMS_PER_DOMAIN)
+                .parse()
+                .expect("a sound name"),
+            leaving: false,
+        };
+        let status = VmStatus {
+            vm: name,
+            epoch: 1,
+            phase: VmPhase::Empty,
+            group: None,
+            fencing: FencingNumber::new(0),
+            composition: FencingNumber::new(0),
+            rank: 0,
+            workload: None,
+            version: None,
+            running: 0,
+            served: 0,
+        };
+        Vm {
+            record,
+            status,
+            power: Power::Up,
+            loaded_at: Time::ZERO,
+            last_up: self.now,
+            history: Vec::new(),
+        }
+    }
+
+    fn fresh_controller(&mut self, at: usize) -> Controller {
+        let incarnation = Incarnation::from(self.next_incarnation);
+        self.next_incarnation += 1;
+        let id = MemberId::new(at as u64 + 1);
+        Controller {
+            lease: LeaseWatch::new(LeaseSettings::default(), id, incarnation),
+            planner: Planner::new(PlacementSettings::default(), incarnation),
+            evidence: EvidenceBook::new(EVIDENCE),
+            partitioned: false,
+        }
+    }
+
+    /// Takes one step and checks the oracle; an error describes the violation.
+    pub fn step(&mut self, action: &GroupAction) -> Result<(), String> {
+        match *action {
+            GroupAction::Advance(ms) => self.advance(Duration::from_millis(ms)),
+            GroupAction::Survey(at) => self.survey(at),
+            GroupAction::EntrySurvey => self.entry_survey(),
+            GroupAction::RenewLease(at) => self.renew_lease(at),
+            GroupAction::Plan(at, late) => self.plan(at, late),
+            GroupAction::LateWrite => self.late_write(),
+            GroupAction::LateOrder(at) => self.late_order(at),
+            GroupAction::Die(at) => self.die(at.index(self.vms.len())),
+            GroupAction::Return(at) => {
+                self.vms[at.index(DOMAINS * VMS_PER_DOMAIN)].power = Power::Up
+            }
+            GroupAction::Freeze(at) => {
+                let vm = &mut self.vms[at.index(DOMAINS * VMS_PER_DOMAIN)];
+                if vm.power == Power::Up {
+                    vm.power = Power::Frozen;
+                }
+            }
+            GroupAction::Leaving(at, leaving) => {
+                self.vms[at.index(DOMAINS * VMS_PER_DOMAIN)].record.leaving = leaving;
+            }
+            GroupAction::Dark(domain) => {
+                for at in domain * VMS_PER_DOMAIN..(domain + 1) * VMS_PER_DOMAIN {
+                    self.die(at);
+                }
+            }
+            GroupAction::Partition(at, cut) => self.controllers[at].partitioned = cut,
+            GroupAction::Platform(up) => self.up = up,
+            GroupAction::Replace(at) => self.controllers[at] = self.fresh_controller(at),
+        }
+        self.check()
+    }
+
+    fn advance(&mut self, span: Duration) {
+        self.now = self.now + span;
+        for vm in &mut self.vms {
+            if vm.power == Power::Up {
+                vm.last_up = self.now;
+                if vm.status.phase == VmPhase::Loading && self.now.since(vm.loaded_at) >= LOAD {
+                    vm.status.phase = VmPhase::Preloaded;
+                }
+            }
+        }
+        self.late_orders
+            .retain(|o| self.now.since(o.sent) < ORDER_LIFE);
+    }
+
+    fn die(&mut self, at: usize) {
+        let vm = &mut self.vms[at];
+        vm.power = Power::Dead;
+        let fresh = VmStatus {
+            epoch: vm.status.epoch + 1,
+            phase: VmPhase::Empty,
+            group: None,
+            fencing: FencingNumber::new(0),
+            workload: None,
+            version: None,
+            ..vm.status.clone()
+        };
+        vm.status = fresh;
+    }
+
+    fn survey(&mut self, at: usize) {
+        let controller = &mut self.controllers[at];
+        if controller.partitioned {
+            return;
+        }
+        for vm in self.vms.iter().filter(|v| v.power == Power::Up) {
+            controller
+                .evidence
+                .record(&vm.record.vm, self.now, vm.status.clone());
+        }
+    }
+
+    fn entry_survey(&mut self) {
+        for vm in self.vms.iter_mut().filter(|v| v.power == Power::Up) {
+            self.entry
+                .record(&vm.record.vm, self.now, vm.status.clone());
+            vm.history.push((self.now, vm.status.clone()));
+        }
+    }
+
+    fn renew_lease(&mut self, at: usize) {
+        if !self.up {
+            return;
+        }
+        let rank = u32::try_from(at).ok();
+        let controller = &mut self.controllers[at];
+        if let LeaseStep::Write(lease) = controller.lease.step(self.now, self.lease.as_ref(), rank)
+        {
+            self.lease = Some(lease);
+            controller.lease.on_written(self.now);
+        }
+    }
+
+    fn plan(&mut self, at: usize, late: bool) {
+        let controller = &mut self.controllers[at];
+        if !self.up || !controller.lease.may_act(self.now) {
+            return;
+        }
+        let records: Vec<VmRecord> = self.vms.iter().map(|v| v.record.clone()).collect();
+        let situation = Situation {
+            now: self.now,
+            deployment: &self.deployment,
+            vms: &records,
+            evidence: &controller.evidence,
+            allocation: &self.allocation,
+        };
+        match controller.planner.plan(&situation) {
+            Plan::Write(next) if late => {
+                self.late_writes.push(LateWrite {
+                    expected: self.version,
+                    next: *next,
+                });
+            }
+            Plan::Write(next) => {
+                self.allocation = *next;
+                self.version += 1;
+            }
+            Plan::Orders(orders) => {
+                for (member, order) in orders {
+                    if late {
+                        self.late_orders.push(LateOrder {
+                            sent: self.now,
+                            member,
+                            order,
+                        });
+                    } else if !self.controllers[at].partitioned {
+                        self.obey(&member, &order);
+                    }
+                }
+            }
+        }
+    }
+
+    fn late_write(&mut self) {
+        let Some(write) = self.late_writes.pop() else {
+            return;
+        };
+        if self.up && write.expected == self.version {
+            self.allocation = write.next;
+            self.version += 1;
+        }
+    }
+
+    fn late_order(&mut self, at: Index) {
+        if self.late_orders.is_empty() {
+            return;
+        }
+        let late = self
+            .late_orders
+            .swap_remove(at.index(self.late_orders.len()));
+        self.obey(&late.member, &late.order);
+    }
+
+    fn obey(&mut self, member: &Member, order: &Order) {
+        let (now, checks) = (self.now, self.checks_fencing);
+        let Some(vm) = self.vms.iter_mut().find(|v| v.record.vm == member.vm) else {
+            return;
+        };
+        let out_of_date = order.fencing < vm.status.fencing;
+        if vm.power != Power::Up || (checks && out_of_date) {
+            return;
+        }
+        vm.status.fencing = vm.status.fencing.max(order.fencing);
+        match &order.kind {
+            OrderKind::Load {
+                workload,
+                version,
+                rank,
+            } => {
+                vm.status.phase = VmPhase::Loading;
+                vm.status.workload = Some(workload.clone());
+                vm.status.version = Some(version.clone());
+                vm.status.rank = *rank;
+                vm.status.group = None;
+                vm.loaded_at = now;
+            }
+            OrderKind::Join {
+                group,
+                composition,
+                rank,
+                ..
+            } => {
+                if matches!(vm.status.phase, VmPhase::Preloaded | VmPhase::Ready) {
+                    vm.status.phase = VmPhase::Ready;
+                    vm.status.group = Some(*group);
+                    vm.status.composition = *composition;
+                    vm.status.rank = *rank;
+                }
+            }
+            OrderKind::Release => {
+                vm.status.phase = VmPhase::Empty;
+                vm.status.group = None;
+                vm.status.workload = None;
+                vm.status.version = None;
+            }
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if let Some(vm) = self.allocation.doubly_held() {
+            return Err(format!("{vm} is held twice"));
+        }
+        let by_name: HashMap<&VmName, &Vm> = self.vms.iter().map(|v| (&v.record.vm, v)).collect();
+        for group in &self.allocation.groups {
+            if self.entry.serving_until(self.now, group).is_err() {
+                continue;
+            }
+            for (rank, member) in (0u32..).zip(&group.members) {
+                let vm = by_name[&member.vm];
+                if self.now.since(vm.last_up) >= EVIDENCE {
+                    return Err(format!(
+                        "{} serves while {} is gone",
+                        group.number, member.vm
+                    ));
+                }
+                let agreed = vm.history.iter().rev().any(|(at, status)| {
+                    self.now.since(*at) < EVIDENCE
+                        && status.group == Some(group.number)
+                        && status.composition == group.composition
+                        && status.rank == rank
+                        && status.phase == VmPhase::Ready
+                });
+                if !agreed {
+                    return Err(format!(
+                        "{} serves without word of {}",
+                        group.number, member.vm
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends every fault and runs one controller regularly; an error says what
+    /// has not recovered in time.
+    pub fn recover(&mut self) -> Result<(), String> {
+        self.up = true;
+        self.late_writes.clear();
+        for vm in &mut self.vms {
+            vm.power = Power::Up;
+            vm.record.leaving = false;
+        }
+        for controller in &mut self.controllers {
+            controller.partitioned = false;
+        }
+        let until = self.now + RECOVERY;
+        while self.now < until {
+            self.advance(RECOVERY_STEP);
+            self.entry_survey();
+            for at in 0..CONTROLLERS {
+                self.survey(at);
+                self.renew_lease(at);
+                for _ in 0..4 {
+                    self.plan(at, false);
+                }
+            }
+            self.check()?;
+        }
+        let serving = self.serving();
+        if serving == REPLICAS {
+            Ok(())
+        } else {
+            Err(format!("{serving} of {REPLICAS} serve"))
+        }
+    }
+
+    /// Returns the groups that the entry may send to.
+    #[must_use]
+    pub fn serving(&self) -> usize {
+        let groups = self.allocation.groups.iter();
+        groups
+            .filter(|g| self.entry.serving_until(self.now, g).is_ok())
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/oracle/tests/worlds.rs
@@ -0,0 +1,58 @@
+//! Fuzz runs of the small worlds against their ledgers.
+
+use bulrushhoist_oracle::{
+    ColdWorld, ConfigWorld, GroupWorld, cold_actions, config_actions, fuzz_config, group_actions,
+};
+use proptest::proptest;
+use proptest::test_runner::TestCaseError;
+
+const CONFIG_SEED: u64 = 11;
+const GROUPS_SEED: u64 = 12;
+const COLD_SEED: u64 = 13;
+
+fn fail(message: String) -> TestCaseError {
+    TestCaseError::fail(message)
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(CONFIG_SEED))]
+    #[test]
+    fn who_takes_work_holds_every_change_accepted_before_the_bound(actions in config_actions()) {
+        let mut world = ConfigWorld::new();
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(GROUPS_SEED))]
+    #[test]
+    fn no_group_serves_with_a_member_missing_and_all_recover(actions in group_actions()) {
+        let mut world = GroupWorld::new(true);
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+        world.recover().map_err(fail)?;
+    }
+
+    #[test]
+    fn the_same_holds_where_endpoints_ignore_fencing(actions in group_actions()) {
+        let mut world = GroupWorld::new(false);
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+        world.recover().map_err(fail)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(COLD_SEED))]
+    #[test]
+    fn a_cold_endpoint_never_gets_more_than_it_carries(actions in cold_actions()) {
+        let mut world = ColdWorld::new();
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+    }
+}
