--- a/crates/oracle/src/config.rs
+++ b/crates/oracle/src/config.rs
@@ -36,6 +36,13 @@
     ProbeServe(usize),
     /// The answer arrives.
     ProbeArrive(usize),
+    /// A daemon reads the platform without delay.
+    Read(usize),
+    /// A daemon probes another without delay.
+    Probe(usize, usize),
+    /// The daemons whose bit is set are cut off from the others and from the
+    /// platform.
+    Split(u8),
     /// A message is lost.
     Lose(usize),
     /// The platform goes down or comes back.
@@ -57,6 +64,9 @@
         8 => (daemon(), daemon()).prop_map(|(a, b)| ConfigAction::ProbeSend(a, b)),
         8 => index().prop_map(ConfigAction::ProbeServe),
         8 => index().prop_map(ConfigAction::ProbeArrive),
+        8 => daemon().prop_map(ConfigAction::Read),
+        16 => (daemon(), daemon()).prop_map(|(a, b)| ConfigAction::Probe(a, b)),
+        1 => any::<u8>().prop_map(ConfigAction::Split),
         2 => index().prop_map(ConfigAction::Lose),
         1 => any::<bool>().prop_map(ConfigAction::Platform),
         1 => daemon().prop_map(ConfigAction::Replace),
@@ -102,6 +112,7 @@
     next_id: u64,
     stored: u64,
     up: bool,
+    split: u8,
     reads: Vec<Read>,
     probes: Vec<Probe>,
     accepted: Vec<(u64, Time)>,
@@ -123,6 +134,7 @@
             next_id: 0,
             stored: 0,
             up: true,
+            split: 0,
             reads: Vec::new(),
             probes: Vec::new(),
             accepted: Vec::new(),
@@ -182,6 +194,10 @@
             ConfigAction::ProbeSend(..) => {}
             ConfigAction::ProbeServe(at) => self.serve_probe(at),
             ConfigAction::ProbeArrive(at) => self.arrive_probe(at),
+            ConfigAction::Read(at) => self.read(at),
+            ConfigAction::Probe(from, to) if from != to => self.probe(from, to),
+            ConfigAction::Probe(..) => {}
+            ConfigAction::Split(split) => self.split = split,
             ConfigAction::Lose(at) => {
                 if !self.probes.is_empty() {
                     self.probes.swap_remove(at % self.probes.len());
@@ -194,6 +210,32 @@
         self.check()
     }
 
+    fn is_cut(&self, at: usize) -> bool {
+        self.split >> at & 1 == 1
+    }
+
+    fn read(&mut self, at: usize) {
+        if self.up && !self.is_cut(at) {
+            let (now, stored) = (self.now, self.stored);
+            let daemon = &mut self.daemons[at];
+            daemon.adopt(stored);
+            daemon.freshness.on_platform_read(now);
+        }
+    }
+
+    fn probe(&mut self, from: usize, to: usize) {
+        if self.is_cut(from) == self.is_cut(to) {
+            let (revision, age) = (
+                self.daemons[to].revision(),
+                self.daemons[to].freshness.age(self.now),
+            );
+            let (to, now) = (self.daemons[to].id, self.now);
+            let daemon = &mut self.daemons[from];
+            daemon.adopt(revision);
+            daemon.freshness.on_reply(to, now, age);
+        }
+    }
+
     fn serve_read(&mut self, at: usize) {
         let unserved: Vec<usize> = (0..self.reads.len())
             .filter(|i| self.reads[*i].found.is_none())
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -9,15 +9,19 @@
 mod cold;
 mod config;
 mod groups;
+mod poison;
+mod tickets;
 
 pub use cold::{ColdAction, ColdWorld, cold_actions};
 pub use config::{ConfigAction, ConfigWorld, config_actions};
 pub use groups::{GroupAction, GroupWorld, group_actions};
+pub use poison::{PoisonAction, PoisonWorld, poison_actions};
+pub use tickets::{RunEnd, TicketAction, TicketWorld, ticket_actions};
 
 use proptest::test_runner::{Config, RngSeed};
 
 /// Cases of each fuzz test unless the environment asks for more.
-const DEFAULT_CASES: u32 = 256;
+const DEFAULT_CASES: u32 = 1_000;
 
 /// Returns the configuration of a fuzz test: a fixed seed, so that CI's verdict
 /// is the same every time. `BULRUSHHOIST_FUZZ_CASES` and
--- /dev/null
+++ b/crates/oracle/src/poison.rs
@@ -0,0 +1,122 @@
+//! Quarantine: a request that crashes endpoints, sent again by its caller.
+//!
+//! The oracle: however often the caller repeats it and wherever, at most two
+//! endpoints are lost per fingerprint as long as daemons hear each other, and
+//! an innocent request that ran beside it is served again.
+
+use std::time::Duration;
+
+use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, QuarantineVerdict, Time};
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any, prop_oneof};
+
+/// Daemons in the world.
+const DAEMONS: usize = 4;
+/// The request that crashes what runs it.
+const POISON: Fingerprint = Fingerprint::new(1);
+/// A request that does not.
+const INNOCENT: Fingerprint = Fingerprint::new(2);
+
+/// One step of the world.
+#[derive(Clone, Debug)]
+pub enum PoisonAction {
+    /// The poison request arrives at a daemon, and its caller waits.
+    Poison(usize),
+    /// The innocent request arrives at a daemon; with `true`, it runs on the
+    /// endpoint that the poison request crashes next.
+    Innocent(usize, bool),
+    /// Time passes, in milliseconds.
+    Advance(u64),
+}
+
+/// Draws a run of the world.
+pub fn poison_actions() -> impl Strategy<Value = Vec<PoisonAction>> {
+    let daemon = || 0..DAEMONS;
+    let action = prop_oneof![
+        4 => daemon().prop_map(PoisonAction::Poison),
+        4 => (daemon(), any::<bool>()).prop_map(|(d, b)| PoisonAction::Innocent(d, b)),
+        2 => (1_u64..5_000).prop_map(PoisonAction::Advance),
+    ];
+    vec(action, 1..60)
+}
+
+/// The world and its ledger.
+pub struct PoisonWorld {
+    now: Time,
+    daemons: Vec<Quarantine>,
+    lost: u64,
+    beside: Option<usize>,
+}
+
+impl Default for PoisonWorld {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl PoisonWorld {
+    /// A world without suspicions.
+    #[must_use]
+    pub fn new() -> Self {
+        let fresh = || Quarantine::new(QuarantineSettings::default());
+        Self {
+            now: Time::from_millis(1_000),
+            daemons: (0..DAEMONS).map(|_| fresh()).collect(),
+            lost: 0,
+            beside: None,
+        }
+    }
+
+    /// Takes one step and checks the oracle; an error describes the violation.
+    pub fn step(&mut self, action: &PoisonAction) -> Result<(), String> {
+        match *action {
+            PoisonAction::Advance(ms) => self.now = self.now + Duration::from_millis(ms),
+            PoisonAction::Poison(at) => self.poison(at),
+            PoisonAction::Innocent(at, beside) => self.innocent(at, beside)?,
+        }
+        if self.lost > 2 {
+            return Err(format!("{} endpoints were lost", self.lost));
+        }
+        Ok(())
+    }
+
+    fn poison(&mut self, at: usize) {
+        let verdict = self.daemons[at].admit(self.now, POISON);
+        if !matches!(verdict, QuarantineVerdict::Clear | QuarantineVerdict::Alone) {
+            return;
+        }
+        self.lost += 1;
+        self.lose(at, POISON);
+        if let Some(other) = self.beside.take() {
+            self.lose(other, INNOCENT);
+        }
+    }
+
+    /// An endpoint's loss is announced before its caller is told.
+    fn lose(&mut self, at: usize, fingerprint: Fingerprint) {
+        self.daemons[at].on_end(fingerprint, false);
+        self.daemons[at].strike(self.now, fingerprint, self.lost);
+        for daemon in &mut self.daemons {
+            daemon.strike(self.now, fingerprint, self.lost);
+        }
+    }
+
+    fn innocent(&mut self, at: usize, beside: bool) -> Result<(), String> {
+        if self.beside.is_some() {
+            return Ok(());
+        }
+        match self.daemons[at].admit(self.now, INNOCENT) {
+            // What was seen with a crash runs alone, so never beside another.
+            QuarantineVerdict::Clear if beside => self.beside = Some(at),
+            QuarantineVerdict::Clear | QuarantineVerdict::Alone => {
+                self.daemons[at].on_end(INNOCENT, true);
+            }
+            QuarantineVerdict::Busy => {}
+            QuarantineVerdict::Refused if self.daemons[at].strikes(INNOCENT) < 2 => {
+                return Err("an innocent request was refused".into());
+            }
+            QuarantineVerdict::Refused => {}
+        }
+        Ok(())
+    }
+}
--- a/crates/oracle/tests/worlds.rs
+++ b/crates/oracle/tests/worlds.rs
@@ -1,7 +1,8 @@
 //! Fuzz runs of the small worlds against their ledgers.
 
 use bulrushhoist_oracle::{
-    ColdWorld, ConfigWorld, GroupWorld, cold_actions, config_actions, fuzz_config, group_actions,
+    ColdWorld, ConfigWorld, GroupWorld, PoisonWorld, TicketWorld, cold_actions, config_actions,
+    fuzz_config, group_actions, poison_actions, ticket_actions,
 };
 use proptest::proptest;
 use proptest::test_runner::TestCaseError;
@@ -9,6 +10,8 @@
 const CONFIG_SEED: u64 = 11;
 const GROUPS_SEED: u64 = 12;
 const COLD_SEED: u64 = 13;
+const TICKETS_SEED: u64 = 14;
+const POISON_SEED: u64 = 15;
 
 fn fail(message: String) -> TestCaseError {
     TestCaseError::fail(message)
@@ -56,3 +59,25 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(fuzz_config(TICKETS_SEED))]
+    #[test]
+    fn a_ticket_runs_at_most_once_and_never_after_not_run(actions in ticket_actions()) {
+        let mut world = TicketWorld::new();
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(POISON_SEED))]
+    #[test]
+    fn a_poison_request_costs_two_endpoints_at_most(actions in poison_actions()) {
+        let mut world = PoisonWorld::new();
+        for action in &actions {
+            world.step(action).map_err(fail)?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/faults.rs
@@ -0,0 +1,401 @@
+//! Focused tests of failures, on daemons and stand-ins in one process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bulrushhoist_cli::{read_directory, set_service};
+use bulrushhoist_core::{
+    DataCentreService, ObjectKey, ServiceState, SourceFile, VmName, VmPhase, VmStatus,
+};
+use bulrushhoist_standin::{
+    FarmSettings, Local, LocalSettings, PlatformFaults, VmFault, expected_part,
+};
+use reqwest::{Client, Response};
+use serde_json::Value;
+use tokio::task::JoinSet;
+
+const TOKEN: &str = "nashville-example-token";
+/// Time that a deployment gets to become whole.
+const WHOLE: Duration = Duration::from_secs(40);
+/// Time after which a data centre that was taken out gets no new work.
+const OUT_WITHIN: Duration = Duration::from_secs(3);
+
+struct World {
+    local: Local,
+    client: Client,
+}
+
+fn files() -> Vec<SourceFile> {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/small");
+    read_directory(&directory).expect("the small deployment is readable")
+}
+
+impl World {
+    async fn start(daemons: usize, farm: FarmSettings) -> Self {
+        let farm = FarmSettings {
+            relays: true,
+            ..farm
+        };
+        let settings = LocalSettings {
+            daemons,
+            farm,
+            ..LocalSettings::default()
+        };
+        let local = Local::start(&files(), settings)
+            .await
+            .expect("the deployment starts");
+        assert!(
+            local.wait_until_serving(WHOLE).await,
+            "the deployment becomes whole"
+        );
+        let client = Client::builder()
+            .no_proxy()
+            .build()
+            .expect("a client can be built");
+        Self { local, client }
+    }
+
+    fn entry(&self, at: usize) -> SocketAddr {
+        self.local.daemons[at % self.local.daemons.len()].caller()
+    }
+
+    async fn complete(&self, at: usize, body: &str) -> Response {
+        let url = format!("http://{}/v1/chat/completions", self.entry(at));
+        let request = self
+            .client
+            .post(url)
+            .bearer_auth(TOKEN)
+            .body(body.to_owned());
+        request.send().await.expect("the entry answers")
+    }
+
+    async fn call(&self, at: usize, path: &str, ticket: Option<&str>, body: &str) -> Response {
+        let url = format!("http://{}/v1/services/counter{path}", self.entry(at));
+        let mut request = match ticket {
+            Some(ticket) => self.client.post(url).header("ticket", ticket),
+            None => self.client.get(url),
+        };
+        request = request.bearer_auth(TOKEN).body(body.to_owned());
+        request.send().await.expect("the entry answers")
+    }
+
+    async fn ticket(&self, at: usize) -> String {
+        let url = format!("http://{}/v1/tickets", self.entry(at));
+        let request = self.client.post(url).bearer_auth(TOKEN);
+        let answer: Value = json(request.send().await.expect("the entry answers")).await;
+        answer["tickets"][0]
+            .as_str()
+            .expect("there is a ticket")
+            .to_owned()
+    }
+
+    /// Returns the leaders that run something.
+    fn busy(&self) -> Vec<VmStatus> {
+        self.local
+            .farm
+            .statuses()
+            .into_iter()
+            .filter(|s| s.running > 0)
+            .collect()
+    }
+
+    async fn busy_leader(&self) -> VmName {
+        for _ in 0..200 {
+            if let Some(status) = self.busy().first() {
+                return status.vm.clone();
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        panic!("nothing runs");
+    }
+}
+
+async fn json(response: Response) -> Value {
+    response.json().await.expect("the answer is JSON")
+}
+
+fn assert_whole(text: &str, body: &str, parts: u64) {
+    assert!(text.ends_with("data: [DONE]\n\n"), "no proper end: {text}");
+    let expected: Vec<String> = (0..parts)
+        .map(|o| expected_part(body.as_bytes(), o))
+        .collect();
+    let found: Vec<String> = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("data: "))
+        .filter_map(|d| serde_json::from_str::<Value>(d).ok())
+        .filter_map(|v| {
+            v["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect();
+    assert_eq!(found, expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_on_a_silent_connection_is_resumed_whole() {
+    let world = World::start(2, FarmSettings::default()).await;
+    let body = r#"{"model":"bench","stream":true,"max_tokens":150,"messages":["silent"]}"#;
+    let response = world.complete(0, body).await;
+    let leader = world.busy_leader().await;
+    let start = Instant::now();
+    assert!(world.local.farm.fault(&leader, VmFault::Silence));
+    let text = response.text().await.expect("the stream ends");
+    assert_whole(&text, body, 150);
+    assert!(
+        start.elapsed() < Duration::from_secs(8),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deposit_on_a_silent_connection_is_settled_and_runs_once() {
+    let farm = FarmSettings {
+        call: Duration::from_millis(800),
+        ..FarmSettings::default()
+    };
+    let world = Arc::new(World::start(2, farm).await);
+    let ticket = world.ticket(0).await;
+    let (caller, held) = (Arc::clone(&world), ticket.clone());
+    let body = r#"{"deposit":"silent-1"}"#;
+    let answer = tokio::spawn(async move {
+        caller
+            .call(0, "/deposits", Some(&held), body)
+            .await
+            .status()
+    });
+    let leader = world.busy_leader().await;
+    let start = Instant::now();
+    world.local.farm.fault(&leader, VmFault::Silence);
+    assert_eq!(answer.await.expect("the caller gets an answer"), 200);
+    assert!(
+        start.elapsed() < Duration::from_secs(8),
+        "{:?}",
+        start.elapsed()
+    );
+    // A repeat gets the kept answer; nothing runs again.
+    assert_eq!(
+        world
+            .call(1, "/deposits", Some(&ticket), body)
+            .await
+            .status(),
+        200
+    );
+    assert_eq!(world.local.farm.executions(body.as_bytes()), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_sent_again_and_again_costs_two_endpoints_at_most() {
+    let world = World::start(3, FarmSettings::default()).await;
+    let epochs = |w: &World| {
+        w.local
+            .farm
+            .statuses()
+            .iter()
+            .map(|s| s.epoch - 1)
+            .sum::<u64>()
+    };
+    let body = r#"{"model":"bench","max_tokens":4,"messages":["poison"]}"#;
+    let mut last = Value::Null;
+    for at in 0..9 {
+        let response = world.complete(at, body).await;
+        assert!(!response.status().is_success());
+        last = json(response).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(last["reason"], "quarantined", "{last}");
+    assert!(
+        epochs(&world) <= 2,
+        "{} endpoints were lost",
+        epochs(&world)
+    );
+    assert!(
+        world.local.wait_until_serving(WHOLE).await,
+        "the groups recover"
+    );
+    let innocent = r#"{"model":"bench","max_tokens":4,"messages":["fine"]}"#;
+    assert_eq!(world.complete(0, innocent).await.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_with_a_dead_member_takes_no_work_and_is_mended_from_a_spare() {
+    let world = World::start(2, FarmSettings::default()).await;
+    let member = world
+        .local
+        .farm
+        .statuses()
+        .into_iter()
+        .find(|s| s.phase == VmPhase::Ready && s.rank == 2)
+        .expect("a group of four has a rank 2");
+    let group_leader = world
+        .local
+        .farm
+        .statuses()
+        .into_iter()
+        .find(|s| {
+            s.rank == 0
+                && s.group == member.group
+                && same_data_centre(&s.vm, &member.vm)
+                && s.workload == member.workload
+        })
+        .expect("the group has a leader");
+    world.local.farm.fault(&member.vm, VmFault::Die);
+    let died = Instant::now();
+    // Evidence counts for two seconds; after that nothing may start there.
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    let served = |w: &World| {
+        let statuses = w.local.farm.statuses();
+        statuses
+            .into_iter()
+            .find(|s| s.vm == group_leader.vm)
+            .map(|s| s.served)
+    };
+    let before = served(&world);
+    for at in 0..10 {
+        let body = format!(r#"{{"model":"bench","max_tokens":2,"messages":["{at}"]}}"#);
+        assert_eq!(
+            world.complete(at, &body).await.status(),
+            200,
+            "the other group serves"
+        );
+    }
+    if died.elapsed() < Duration::from_secs(4) {
+        assert_eq!(
+            served(&world),
+            before,
+            "the group without its member took work"
+        );
+    }
+    assert!(
+        world.local.wait_until_serving(WHOLE).await,
+        "the group is mended"
+    );
+}
+
+fn same_data_centre(a: &VmName, b: &VmName) -> bool {
+    a.as_str().split('-').next() == b.as_str().split('-').next()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_taken_out_gets_no_new_work_and_no_request_fails() {
+    let world = Arc::new(World::start(3, FarmSettings::default()).await);
+    let east = "east".parse().expect("a sound name");
+    let mut callers = JoinSet::new();
+    let until = Instant::now() + Duration::from_secs(8);
+    for caller in 0..4 {
+        let world = Arc::clone(&world);
+        callers.spawn(async move {
+            let mut answered = 0;
+            while Instant::now() < until {
+                let body = format!(
+                    r#"{{"model":"bench","max_tokens":20,"messages":["{caller}-{answered}"]}}"#
+                );
+                assert_eq!(world.complete(caller, &body).await.status(), 200);
+                answered += 1;
+            }
+            answered
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    set_service(&world.local.store, &east, ServiceState::Out)
+        .await
+        .expect("the state is stored");
+    tokio::time::sleep(OUT_WITHIN).await;
+    let served = |w: &World| -> u64 {
+        let statuses = w.local.farm.statuses();
+        let inside = statuses
+            .iter()
+            .filter(|s| s.vm.as_str().starts_with("east"));
+        inside.map(|s| s.served + u64::from(s.running)).sum()
+    };
+    let before = served(&world);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(
+        served(&world) <= before,
+        "new work started in the data centre that is out"
+    );
+    while let Some(result) = callers.join_next().await {
+        assert!(result.expect("no request fails") > 0);
+    }
+    set_service(&world.local.store, &east, ServiceState::In)
+        .await
+        .expect("the state is stored");
+    assert!(world.local.wait_until_serving(WHOLE).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_goes_on_through_an_outage_of_the_platform_and_changes_wait() {
+    let mut world = World::start(3, FarmSettings::default()).await;
+    world.local.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let start = Instant::now();
+    let mut sent = 0;
+    while start.elapsed() < Duration::from_secs(6) {
+        let body = format!(r#"{{"model":"bench","max_tokens":2,"messages":["{sent}"]}}"#);
+        assert_eq!(
+            world.complete(sent, &body).await.status(),
+            200,
+            "after {:?}",
+            start.elapsed()
+        );
+        sent += 1;
+    }
+    // A ticket needs no platform; a key that cannot be claimed is not run.
+    let ticket = world.ticket(0).await;
+    let body = r#"{"deposit":"outage"}"#;
+    assert_eq!(
+        world
+            .call(0, "/deposits", Some(&ticket), body)
+            .await
+            .status(),
+        200
+    );
+    let url = format!("http://{}/v1/services/counter/deposits", world.entry(0));
+    let keyed = world
+        .client
+        .post(url)
+        .bearer_auth(TOKEN)
+        .header("idempotency-key", "k");
+    let keyed = json(keyed.body("{}").send().await.expect("the entry answers")).await;
+    assert_eq!(keyed["reason"], "claim_failed", "{keyed}");
+    assert_eq!(world.local.farm.executions(b"{}"), 0);
+    // A daemon that starts now cannot register and takes nothing.
+    let fresh = world.local.start_daemon(3).await.expect("it starts");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!fresh.is_ready());
+    world.local.platform.set_faults(PlatformFaults::default());
+    world.local.daemons.push(fresh);
+    assert!(world.local.wait_until_serving(WHOLE).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_whose_answer_is_lost_is_settled_by_reading_back() {
+    let world = World::start(2, FarmSettings::default()).await;
+    let faults = PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    };
+    world.local.platform.set_faults(faults);
+    let west = "west".parse().expect("a sound name");
+    let writes = world.local.platform.writes();
+    set_service(&world.local.store, &west, ServiceState::Out)
+        .await
+        .expect("the write is settled");
+    let key = ObjectKey::service();
+    let listed = world.local.store.read::<DataCentreService>(&key);
+    let stored = listed
+        .await
+        .expect("the platform answers")
+        .expect("the state is stored");
+    assert_eq!(
+        stored.stamped.revision.get(),
+        1,
+        "the write was not repeated"
+    );
+    assert!(world.local.platform.writes() > writes);
+}
