Let a suspected request run one at a time across all entries

Ruled out: passing the request on to one entry, which would break streams in two. Change: each fingerprint has an owner among the registered daemons, and a suspected request runs only with the owner's leave.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -133,6 +133,14 @@
             .map_or(0, |s| s.incidents.len())
     }
 
+    /// Returns the lost endpoint runs that a fingerprint is suspected of.
+    #[must_use]
+    pub fn incidents(&self, fingerprint: Fingerprint) -> &[u64] {
+        self.suspects
+            .get(&fingerprint)
+            .map_or(&[], |s| s.incidents.as_slice())
+    }
+
     /// Returns up to `most` fingerprints with their strikes, for other daemons.
     pub fn news(&self, most: usize) -> impl Iterator<Item = (Fingerprint, &[u64])> {
         self.suspects
--- a/crates/daemon/src/callers/run.rs
+++ b/crates/daemon/src/callers/run.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 
-use crate::controllers::announce_strikes;
+use crate::controllers::{Leave, Probation, announce_strikes};
 use crate::node::Node;
 
 /// Times that one stream is resumed at the same endpoint.
@@ -25,23 +25,31 @@
     id: RequestId,
     fingerprint: Fingerprint,
     pub(super) choice: Choice,
+    probation: Option<Probation>,
     ended: bool,
 }
 
 impl Attempt {
     /// Waits for a replica.
     pub(super) async fn acquire(node: &Arc<Node>, request: &NewRequest) -> Result<Self, Refusal> {
+        let probation = match Probation::ask(node, request.fingerprint).await {
+            Leave::NotNeeded => None,
+            Leave::Granted(probation) => Some(probation),
+            Leave::Refused => return Err(Refusal::not_run(Reason::Quarantined)),
+        };
         let choice = node.acquire(request.clone()).await?;
         node.note(
             request.id,
             format!("replica {} at {}", choice.replica, choice.leader),
         );
         let (id, fingerprint) = (request.id, request.fingerprint);
+        let node = Arc::clone(node);
         Ok(Self {
-            node: Arc::clone(node),
+            node,
             id,
             fingerprint,
             choice,
+            probation,
             ended: false,
         })
     }
@@ -61,10 +69,16 @@
     }
 
     fn finish(&mut self, outcome: Outcome) {
-        if !self.ended {
-            self.ended = true;
-            self.node.finish(self.id, outcome);
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        if let Some(probation) = &mut self.probation
+            && matches!(outcome, Outcome::Answered(_))
+        {
+            probation.set_answered();
         }
+        self.node.finish(self.id, outcome);
     }
 
     /// Reports the failure of the attempt, and the endpoint's with it.
--- a/crates/daemon/src/controllers.rs
+++ b/crates/daemon/src/controllers.rs
@@ -3,12 +3,14 @@
 mod gossip;
 mod peer_server;
 mod placement;
+mod probation;
 mod probe;
 mod register;
 mod sync;
 
 pub(crate) use gossip::{PeerChannels, announce_strikes};
 pub(crate) use peer_server::serve_peers;
+pub(crate) use probation::{Leave, Probation};
 pub(crate) use register::{join, leave, set_phase};
 
 use std::sync::Arc;
--- a/crates/daemon/src/controllers/gossip.rs
+++ b/crates/daemon/src/controllers/gossip.rs
@@ -33,7 +33,7 @@
 }
 
 impl PeerChannels {
-    fn get(&self, node: &Node, target: ProbeTarget) -> Option<Channel> {
+    pub(super) fn get(&self, node: &Node, target: ProbeTarget) -> Option<Channel> {
         let mut channels = self
             .channels
             .lock()
@@ -67,7 +67,7 @@
     node.settings.timing.gossip * 2
 }
 
-fn request<T>(node: &Node, message: T) -> tonic::Request<T> {
+pub(super) fn request<T>(node: &Node, message: T) -> tonic::Request<T> {
     let mut request = tonic::Request::new(message);
     let key = node.settings.security.peer_key.as_deref();
     if let Some(value) = key.and_then(|k| MetadataValue::try_from(k).ok()) {
@@ -248,7 +248,7 @@
     }
 }
 
-fn take_strike(core: &mut Core, now: Time, strike: &peer::Strike) {
+pub(super) fn take_strike(core: &mut Core, now: Time, strike: &peer::Strike) {
     let fingerprint = Fingerprint::new(strike.fingerprint);
     for incident in &strike.incidents {
         core.dispatcher
--- a/crates/daemon/src/controllers/peer_server.rs
+++ b/crates/daemon/src/controllers/peer_server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushhoist_core::{MemberId, ObjectKey, ProbeTarget, Revision};
+use bulrushhoist_core::{Fingerprint, MemberId, ObjectKey, ProbeTarget, Revision};
 use bulrushhoist_wire::MESSAGE_MAX_BYTES;
 use bulrushhoist_wire::peer;
 use bulrushhoist_wire::peer::peer_server::{Peer, PeerServer};
@@ -15,6 +15,7 @@
 use tonic::{Request, Response, Status};
 
 use super::gossip::{PEER_KEY_HEADER, exchange, gossip, take_news};
+use super::probation;
 use crate::node::Node;
 
 struct Service {
@@ -77,6 +78,30 @@
         Ok(Response::new(peer::IndirectResult { reached }))
     }
 
+    async fn begin_probation(
+        &self,
+        request: Request<peer::Strike>,
+    ) -> Result<Response<peer::ProbationReply>, Status> {
+        self.check_key(&request)?;
+        let granted = probation::grant(&self.node, request.get_ref());
+        Ok(Response::new(peer::ProbationReply { granted }))
+    }
+
+    async fn end_probation(
+        &self,
+        request: Request<peer::ProbationEnd>,
+    ) -> Result<Response<peer::ProbationReply>, Status> {
+        self.check_key(&request)?;
+        let end = request.get_ref();
+        let fingerprint = Fingerprint::new(end.fingerprint);
+        self.node
+            .core()
+            .dispatcher
+            .quarantine_mut()
+            .on_end(fingerprint, end.answered);
+        Ok(Response::new(peer::ProbationReply { granted: true }))
+    }
+
     async fn fetch_objects(
         &self,
         request: Request<peer::ObjectDigests>,
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,96 @@
+//! `bulrushhoist-load`: open-loop load and experiments.
+
+use std::process::ExitCode;
+
+use bulrushhoist_load::{Command, measure_decisions, parse, run};
+
+const HELP: &str = "\
+bulrushhoist-load - open-loop load and experiments
+
+usage: bulrushhoist-load run --entry ADDRESS [options]
+       bulrushhoist-load decisions
+
+  --entry ADDRESS       an entry to ask for entries; may be repeated
+  --rate N              requests per second (50)
+  --seconds S           time during which requests arrive (10)
+  --patience S          time within which an answer counts (20)
+  --model NAME          model to ask (bulrush-bench)
+  --parts N             parts of each completion (16)
+  --prompts N           different prompt starts (100)
+  --service NAME        plain service to call as well, under tickets
+  --path PATH           path of its non-idempotent call (/deposits)
+  --service-share X     share of requests that go there (0.2)
+  --teams A:W,B:W       teams and weights; NAME-example-token is the token
+  --control ADDRESS     switches and ledger of the endpoint stand-ins
+  --platform ADDRESS    the platform, for faults and data centres
+  --operator ADDRESS    a daemon's operator address, to measure group downtime
+  --fault S,KIND,TARGET at second S; KIND is crash, die, freeze, silence,
+                        turn_cold, leave or return for the VMs whose names begin
+                        with TARGET, out or in for a data centre, platform-down
+                        or platform-up; may be repeated
+  --no-repeats          callers do not repeat requests that were not run
+  --seed N              seed of the arrivals (1)
+  --json                print the report as JSON
+
+`decisions` measures the time of one request's routing decisions.
+
+exit codes: 0 right, 1 could not run, 2 bad usage, 3 an answer was wrong or
+partial, or a request ran twice or after it was said not to
+";
+
+#[allow(clippy::print_stdout)]
+fn main() -> ExitCode {
+    let command = match parse(lexopt::Parser::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("bulrushhoist-load: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    match command {
+        Command::Help => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Command::Decisions => {
+            for cost in measure_decisions(&[10, 100, 1_000, 10_000]) {
+                let nanos = cost.per_request.as_nanos();
+                println!("{} replicas: {nanos} ns per request", cost.replicas);
+            }
+            ExitCode::SUCCESS
+        }
+        Command::Run(options) => experiment(*options),
+    }
+}
+
+#[allow(clippy::print_stdout)]
+fn experiment(options: bulrushhoist_load::RunOptions) -> ExitCode {
+    let json = options.json;
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("bulrushhoist-load: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = match runtime.block_on(run(options)) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("bulrushhoist-load: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&report).unwrap_or_default()
+        );
+    } else {
+        report.lines().iter().for_each(|line| println!("{line}"));
+    }
+    if report.is_right() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(3)
+    }
+}
--- /dev/null
+++ b/crates/load/src/options.rs
@@ -0,0 +1,140 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lexopt::{Arg, Parser, ValueExt as _};
+
+use crate::schedule::Fault;
+
+/// What to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Run an experiment.
+    Run(Box<RunOptions>),
+    /// Measure the cost of one decision.
+    Decisions,
+    /// Show help.
+    Help,
+}
+
+/// An experiment.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Entries to ask for entries.
+    pub seeds: Vec<SocketAddr>,
+    /// Requests per second.
+    pub rate: f64,
+    /// Time during which requests arrive.
+    pub length: Duration,
+    /// Time within which an answer counts.
+    pub patience: Duration,
+    /// Model to ask.
+    pub model: String,
+    /// Service to call.
+    pub service: Option<String>,
+    /// Path of the service's non-idempotent call.
+    pub path: String,
+    /// Share of requests that go to the service.
+    pub service_share: f64,
+    /// Parts of each completion.
+    pub parts: u64,
+    /// Teams, each as often as its weight; `NAME-example-token` is its token.
+    pub teams: Vec<String>,
+    /// Different prompt starts.
+    pub prompts: u64,
+    /// Switches and ledger of the endpoint stand-ins.
+    pub control: Option<SocketAddr>,
+    /// The platform, for faults and for taking data centres out.
+    pub platform: Option<SocketAddr>,
+    /// A daemon's operator address, to measure the downtime of groups.
+    pub operator: Option<SocketAddr>,
+    /// Faults and when they begin.
+    pub faults: Vec<Fault>,
+    /// Whether callers repeat requests that were not run.
+    pub repeats: bool,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Whether the report is JSON.
+    pub json: bool,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            rate: 50.0,
+            length: Duration::from_secs(10),
+            patience: Duration::from_secs(20),
+            model: "bulrush-bench".into(),
+            service: None,
+            path: "/deposits".into(),
+            service_share: 0.2,
+            parts: 16,
+            teams: vec!["nashville".into()],
+            prompts: 100,
+            control: None,
+            platform: None,
+            operator: None,
+            faults: Vec::new(),
+            repeats: true,
+            seed: 1,
+            json: false,
+        }
+    }
+}
+
+/// Parses the command line.
+pub fn parse(mut parser: Parser) -> Result<Command, lexopt::Error> {
+    let mut options = RunOptions::default();
+    let mut word = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("entry") => options.seeds.push(parser.value()?.parse()?),
+            Arg::Long("rate") => options.rate = parser.value()?.parse()?,
+            Arg::Long("seconds") => options.length = seconds(&mut parser)?,
+            Arg::Long("patience") => options.patience = seconds(&mut parser)?,
+            Arg::Long("model") => options.model = parser.value()?.string()?,
+            Arg::Long("service") => options.service = Some(parser.value()?.string()?),
+            Arg::Long("path") => options.path = parser.value()?.string()?,
+            Arg::Long("service-share") => options.service_share = parser.value()?.parse()?,
+            Arg::Long("parts") => options.parts = parser.value()?.parse()?,
+            Arg::Long("teams") => options.teams = teams(&parser.value()?.string()?)?,
+            Arg::Long("prompts") => options.prompts = parser.value()?.parse()?,
+            Arg::Long("control") => options.control = Some(parser.value()?.parse()?),
+            Arg::Long("platform") => options.platform = Some(parser.value()?.parse()?),
+            Arg::Long("operator") => options.operator = Some(parser.value()?.parse()?),
+            Arg::Long("fault") => options.faults.push(parser.value()?.parse()?),
+            Arg::Long("no-repeats") => options.repeats = false,
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("json") => options.json = true,
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Value(value) if word.is_none() => word = Some(value.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    match word.as_deref() {
+        Some("run") if options.seeds.is_empty() => Err("--entry is required".into()),
+        Some("run") => Ok(Command::Run(Box::new(options))),
+        Some("decisions") => Ok(Command::Decisions),
+        _ => Ok(Command::Help),
+    }
+}
+
+fn seconds(parser: &mut Parser) -> Result<Duration, lexopt::Error> {
+    let seconds: f64 = parser.value()?.parse()?;
+    Duration::try_from_secs_f64(seconds).map_err(|e| e.to_string().into())
+}
+
+/// Reads `NAME:WEIGHT,NAME:WEIGHT`.
+fn teams(text: &str) -> Result<Vec<String>, lexopt::Error> {
+    let mut teams = Vec::new();
+    for item in text.split(',') {
+        let (name, weight) = item.split_once(':').unwrap_or((item, "1"));
+        let weight: usize = weight
+            .parse()
+            .map_err(|_| format!("`{weight}` is no weight"))?;
+        teams.extend(std::iter::repeat_n(name.to_owned(), weight));
+    }
+    Ok(teams)
+}
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -6,6 +6,7 @@
 //! | `GET /v1/statuses` | every VM's report |
 //! | `PUT /v1/vms/VM/fault` with a fault as JSON | makes a VM show a fault |
 //! | `GET /v1/ledger?marker=TEXT` | executions of calls whose body holds the text |
+//! | `POST /v1/executions` with a body | how often calls with exactly this body ran |
 
 use std::io;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
     Statuses,
     Fault,
     Ledger,
+    Executions,
 }
 
 struct Api {
@@ -46,7 +48,8 @@
         .push(Router::with_path("vms").get(api(Call::Vms)))
         .push(Router::with_path("statuses").get(api(Call::Statuses)))
         .push(Router::with_path("vms/{vm}/fault").put(api(Call::Fault)))
-        .push(Router::with_path("ledger").get(api(Call::Ledger)));
+        .push(Router::with_path("ledger").get(api(Call::Ledger)))
+        .push(Router::with_path("executions").post(api(Call::Executions)));
     tokio::spawn(Server::new(acceptor).disable_fuse().serve(router));
     Ok(address)
 }
@@ -67,6 +70,10 @@
                 let marker: String = req.query("marker").unwrap_or_default();
                 res.render(Json(self.farm.ledger(&marker)));
             }
+            Call::Executions => {
+                let body = req.payload().await.cloned().unwrap_or_default();
+                res.render(Json(self.farm.executions(&body)));
+            }
             Call::Fault => {
                 let vm = req.param::<String>("vm").and_then(|t| t.parse().ok());
                 let fault = req.payload().await.ok();
