--- /dev/null
+++ b/crates/cli/tests/arguments.rs
@@ -0,0 +1,72 @@
+//! The command line and the comparison of files.
+
+use bulrushhoist_cli::{Command, FileChange, OutputForm, differences, parse_arguments};
+use bulrushhoist_core::{Revision, SourceFile};
+use lexopt::Parser;
+
+fn parse(words: &[&str]) -> Result<bulrushhoist_cli::Arguments, lexopt::Error> {
+    parse_arguments(Parser::from_args(words), |_| None)
+}
+
+#[test]
+fn commands_are_read() {
+    let words = [
+        "--platform",
+        "10.0.0.1:7000",
+        "apply",
+        "dir",
+        "--wait",
+        "--base",
+        "3",
+    ];
+    let arguments = parse(&words).expect("it is right");
+    let expected = Command::Apply {
+        directory: "dir".into(),
+        base: Some(Revision::new(3)),
+        wait: true,
+    };
+    assert_eq!(arguments.command, expected);
+    let arguments = parse(&["check", "dir", "--output", "json"]).expect("it is right");
+    assert_eq!(arguments.printer.form, OutputForm::Json);
+}
+
+#[test]
+fn wrong_command_lines_are_refused() {
+    assert!(parse(&["status"]).is_err(), "the platform is missing");
+    assert!(parse(&["--platform", "x", "status"]).is_err());
+    assert!(parse(&["check"]).is_err());
+    assert!(parse(&["check", "a", "--unknown"]).is_err());
+    let words = [
+        "--platform",
+        "10.0.0.1:7000",
+        "data-centre",
+        "out",
+        "Not A Name",
+    ];
+    assert!(parse(&words).is_err());
+}
+
+#[test]
+fn differences_name_files_and_lines() {
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    let before = [file("a.toml", "x = 1\ny = 2\n"), file("b.toml", "")];
+    let after = [file("a.toml", "x = 1\ny = 3\n"), file("c.toml", "z = 1\n")];
+    let found = differences(&before, &after);
+    let changes: Vec<(&str, FileChange)> =
+        found.iter().map(|d| (d.name.as_str(), d.change)).collect();
+    assert_eq!(
+        changes,
+        [
+            ("a.toml", FileChange::Changed),
+            ("b.toml", FileChange::Removed),
+            ("c.toml", FileChange::Added)
+        ]
+    );
+    assert_eq!(
+        (found[0].added[0].line, found[0].added[0].text.as_str()),
+        (2, "y = 3")
+    );
+}
--- a/crates/core/src/deployment.rs
+++ b/crates/core/src/deployment.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use derive_more::{Display, FromStr};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq as _;
@@ -73,9 +73,7 @@
 }
 
 /// HTTP method of a service's route.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, FromStr, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 #[display(rename_all = "UPPERCASE")]
 pub enum Method {
@@ -89,6 +87,11 @@
     Delete,
 }
 
+impl Method {
+    /// Every method.
+    pub const ALL: [Self; 4] = [Self::Get, Self::Post, Self::Put, Self::Delete];
+}
+
 /// One call that a plain service offers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -419,9 +422,13 @@
                 .map(DataCentreName::as_str)
                 .collect();
             let message = format!(
-                "no data centre `{}` is declared; declared are {}",
+                "no data centre `{}` is declared; declared are: {}",
                 reference.data_centre,
-                known.join(", ")
+                if known.is_empty() {
+                    "none".to_owned()
+                } else {
+                    known.join(", ")
+                }
             );
             problems.0.push(Problem {
                 file: reference.file.clone(),
@@ -436,9 +443,12 @@
 fn read_routes(table: &mut TableReader<'_>) -> Vec<Route> {
     let mut routes = Vec::new();
     for mut entry in table.tables("routes") {
-        let method = entry.required("method");
+        let method = entry.choice("method", &Method::ALL);
         let path: Option<String> = entry.required("path");
         let idempotent = entry.boolean("idempotent");
+        if !entry.has("method") {
+            entry.key_problem("method", "missing; GET, POST, PUT or DELETE is required");
+        }
         if path.as_ref().is_some_and(|p| !p.starts_with('/')) {
             entry.key_problem("path", "expected a path that begins with `/`");
         }
--- a/crates/core/src/tables.rs
+++ b/crates/core/src/tables.rs
@@ -137,6 +137,12 @@
         self.source.report(offset, &self.child_path(key), message);
     }
 
+    /// Returns whether the table has this key.
+    #[must_use]
+    pub fn has(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
     /// Returns the path of this table, its keys separated by dots.
     #[must_use]
     pub fn path(&self) -> &str {
@@ -205,6 +211,27 @@
         self.optional(key)
     }
 
+    /// Reads an optional string that is one of a closed set.
+    pub fn choice<T>(&mut self, key: &'a str, all: &[T]) -> Option<T>
+    where
+        T: Copy + std::fmt::Display,
+    {
+        let value = self.take(key)?;
+        let text = value.get_ref().as_str();
+        let found = all
+            .iter()
+            .copied()
+            .find(|t| text == Some(t.to_string().as_str()));
+        if found.is_none() {
+            let names: Vec<String> = all.iter().map(|t| format!("`{t}`")).collect();
+            self.key_problem(
+                key,
+                wrong_kind(value, &format!("one of {}", names.join(", "))),
+            );
+        }
+        found
+    }
+
     /// Reads an optional whole number within a range.
     pub fn optional_integer(&mut self, key: &'a str, allowed: RangeInclusive<u64>) -> Option<u64> {
         let value = self.take(key)?;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,13 +1,13 @@
 //! Structured logs: lines for changes of state, counters for everything else.
 
-use derive_more::{Display, FromStr};
+use derive_more::Display;
 use slog::{Drain as _, Logger, o};
 
 /// Lines that may wait to be written; more are dropped and counted.
 const QUEUE_LINES: usize = 4_096;
 
 /// Form of the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, FromStr)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
 pub enum LogFormat {
     /// Lines for a person at a terminal.
@@ -17,8 +17,13 @@
     Json,
 }
 
+impl LogFormat {
+    /// Every form.
+    pub const ALL: [Self; 2] = [Self::Terminal, Self::Json];
+}
+
 /// Least severity that is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, FromStr)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Faults that need an operator.
@@ -32,6 +37,11 @@
     Debug,
 }
 
+impl LogLevel {
+    /// Every severity.
+    pub const ALL: [Self; 4] = [Self::Error, Self::Warning, Self::Info, Self::Debug];
+}
+
 /// What is logged and how.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LogSettings {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,7 +5,7 @@
 
 use bulrushhoist_core::{DataCentreName, Problem, Problems, TableReader, parse_document};
 
-use crate::logging::LogSettings;
+use crate::logging::{LogFormat, LogLevel, LogSettings};
 
 /// Longest duration that a setting may have, in milliseconds.
 const DURATION_MAX_MS: u64 = 3_600_000;
@@ -262,8 +262,8 @@
     let Some(mut table) = root.table("log") else {
         return LogSettings::default();
     };
-    let format = table.optional("format").unwrap_or_default();
-    let level = table.optional("level").unwrap_or_default();
+    let format = table.choice("format", &LogFormat::ALL).unwrap_or_default();
+    let level = table.choice("level", &LogLevel::ALL).unwrap_or_default();
     table.finish();
     LogSettings { format, level }
 }
