Send small pieces at once

Cause: the servers' sockets waited for acknowledgements (Nagle) which the other side delays by 40 ms, so parts of streams arrived in bunches. Ruled out: the relay (it sets the option), the engines' pace (11 ms between parts at low rate). Change: listeners set the option and accepted connections inherit it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod clock;
 mod controllers;
+mod listen;
 mod logging;
 mod losses;
 mod metrics;
@@ -20,6 +21,7 @@
 mod trace;
 mod view;
 
+pub use listen::listen;
 pub use logging::{LogFormat, LogLevel, LogSettings, logger};
 pub use server::{Daemon, StartError};
 pub use settings::{CallerLimits, Security, Settings, Timing};
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
+use crate::listen::listen;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::settings::Settings;
@@ -64,9 +65,9 @@
     /// Starts a daemon with real connections. Port 0 in the settings picks a
     /// free one; see [`Daemon::caller`] and its siblings.
     pub async fn start(mut settings: Settings, log: Logger) -> Result<Self, StartError> {
-        let caller = bind(&mut settings.caller).await?;
-        let peer = bind(&mut settings.peer).await?;
-        let operator = bind(&mut settings.operator).await?;
+        let caller = bind(&mut settings.caller)?;
+        let peer = bind(&mut settings.peer)?;
+        let operator = bind(&mut settings.operator)?;
         let platform = HttpPlatform::new(settings.platform, settings.timing.platform)?;
         let endpoints = HttpEndpoints::new(HttpEndpointSettings::default())?;
         let store = Store::new(Arc::new(platform));
@@ -139,12 +140,12 @@
     }
 }
 
-async fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
+fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
     let failed = |cause| StartError::Listen {
         address: *address,
         cause,
     };
-    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    let listener = listen(*address).map_err(failed)?;
     *address = listener.local_addr().map_err(failed)?;
     Ok(listener)
 }
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -12,8 +12,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bulrushhoist_daemon::listen;
 use salvo::Server;
-use salvo::conn::{Listener as _, TcpListener};
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::prelude::{Depot, FlowCtrl, Handler, Json, Request, Response, Router};
 
@@ -35,11 +36,8 @@
 
 /// Serves the switches of a farm until the process ends; returns the address.
 pub async fn serve_control(farm: Arc<Farm>, address: SocketAddr) -> io::Result<SocketAddr> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .map_err(io::Error::other)?;
-    let address = acceptor.inner().local_addr()?;
+    let acceptor = TcpAcceptor::try_from(listen(address)?)?;
+    let address = acceptor.local_addr()?;
     let api = |call| Api {
         farm: Arc::clone(&farm),
         call,
--- a/crates/standin/src/endpoint/farm.rs
+++ b/crates/standin/src/endpoint/farm.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{VmName, VmRecord, VmStatus};
+use bulrushhoist_daemon::listen;
 use salvo::Server;
-use salvo::conn::{Listener as _, TcpListener};
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use serde::{Deserialize, Serialize};
 
@@ -215,11 +216,8 @@
     } else {
         public
     };
-    let acceptor = TcpListener::new(inner)
-        .try_bind()
-        .await
-        .map_err(io::Error::other)?;
-    let inner = acceptor.inner().local_addr()?;
+    let acceptor = TcpAcceptor::try_from(listen(inner)?)?;
+    let inner = acceptor.local_addr()?;
     let relay = match settings.relays {
         true => Some(Relay::start(public, inner).await?),
         false => None,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 
 use bulrushhoist_core::VmRecord;
+use bulrushhoist_daemon::listen;
 use salvo::Server;
-use salvo::conn::{Listener as _, TcpListener};
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 
 pub use state::PlatformFaults;
@@ -25,11 +26,8 @@
 impl PlatformStandin {
     /// Starts the stand-in; port 0 picks a free one.
     pub async fn start(address: SocketAddr) -> io::Result<Self> {
-        let acceptor = TcpListener::new(address)
-            .try_bind()
-            .await
-            .map_err(io::Error::other)?;
-        let address = acceptor.inner().local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listen(address)?)?;
+        let address = acceptor.local_addr()?;
         let state = Arc::new(State::default());
         let server = Server::new(acceptor).disable_fuse();
         let handle = server.handle();
--- /dev/null
+++ b/tools/with_deployment.py
@@ -0,0 +1,58 @@
+#!/usr/bin/env python3
+"""Runs a command against a deployment of separate processes.
+
+usage: tools/with_deployment.py DEPLOYMENT DATA_CENTRES DOMAINS VMS DAEMONS
+           -- COMMAND ... [--then COMMAND ...]
+
+{entry}, {control}, {platform} and {operator} in the command stand for the first
+daemon's caller address, the endpoints' switches, the platform and the first
+daemon's operator address. Endpoints stand behind relays, so that every fault
+can be shown. Afterwards each daemon's processor time and memory is printed.
+"""
+
+import subprocess
+import sys
+import time
+
+from fleet import Fleet, cpu_seconds, memory_mb, program
+
+FORM_S = 12
+
+
+def commands(words):
+    """Splits a list of words at each --then."""
+    while "--then" in words:
+        at = words.index("--then")
+        yield words[:at]
+        words = words[at + 1:]
+    yield words
+
+
+def main():
+    if "--" not in sys.argv:
+        raise SystemExit(__doc__)
+    at = sys.argv.index("--")
+    deployment, data_centres, domains, vms, count = sys.argv[1:at]
+    with Fleet(deployment, data_centres, domains, vms, int(count), relays=True) as fleet:
+        time.sleep(FORM_S)
+        first = fleet.daemons[0]
+        places = {
+            "entry": first.caller, "control": fleet.control,
+            "platform": fleet.platform, "operator": first.operator,
+        }
+        before = [cpu_seconds(d.pid) for d in fleet.daemons]
+        start = time.time()
+        status = 0
+        for command in commands(sys.argv[at + 1:]):
+            words = [word.format(**places) for word in command]
+            words[0] = program(words[0])
+            status = max(status, subprocess.run(words).returncode)
+        span = time.time() - start
+        for daemon, cpu in zip(fleet.daemons, before):
+            share = 100 * (cpu_seconds(daemon.pid) - cpu) / span
+            print(f"daemon {daemon.caller}: {share:.1f}% of a core, {memory_mb(daemon.pid):.1f} MB")
+    raise SystemExit(status)
+
+
+if __name__ == "__main__":
+    main()
