Send retries to another data centre first

Cause: with a data centre dead, 2 streams were cut off and 1 request ran out of retries: replicas stay in use for up to 2 s after their last report, and a retry often chose a second dead neighbour. Ruled out: the retry budget (20 saved, 8 in flight per team). Change: a request that failed goes to a data centre where it has not failed, if one has room. Test: a_retry_goes_to_another_data_centre, which failed first. Small deployments for tests stand in one place.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -320,6 +320,8 @@
             .any(|r| r.spec.workload == *workload && r.is_serving(now))
     }
 
+    /// A request that failed goes to another data centre if it can: a replica's
+    /// neighbours are often lost together with it, before evidence shows it.
     fn choose(
         &self,
         now: Time,
@@ -329,7 +331,28 @@
         rng: &mut impl Rng,
     ) -> Option<ReplicaKey> {
         let pool = self.pools.get(workload)?;
-        let usable = |key: &&ReplicaKey| self.is_usable(now, key) && !avoid.contains(key);
+        let elsewhere = |key: &ReplicaKey| {
+            self.is_usable(now, key) && !avoid.iter().any(|a| a.data_centre == key.data_centre)
+        };
+        let other = |key: &ReplicaKey| self.is_usable(now, key) && !avoid.contains(key);
+        if let Some(key) = self.choose_among(pool, prefix, elsewhere, rng) {
+            return Some(key);
+        }
+        // Without earlier failures the two conditions are the same.
+        let failed = !avoid.is_empty();
+        failed
+            .then(|| self.choose_among(pool, prefix, other, rng))
+            .flatten()
+    }
+
+    fn choose_among(
+        &self,
+        pool: &Pool,
+        prefix: u64,
+        usable: impl Fn(&ReplicaKey) -> bool,
+        rng: &mut impl Rng,
+    ) -> Option<ReplicaKey> {
+        let usable = |key: &&ReplicaKey| usable(key);
         let cached: SmallVec<[&ReplicaKey; PREFIX_SAMPLES]> = match self.policy {
             RouterPolicy::Affinity => pool.preferred(prefix).take(PREFIX_SAMPLES).collect(),
             RouterPolicy::LaggingReport | RouterPolicy::Random => SmallVec::new(),
--- a/crates/load/src/decisions.rs
+++ b/crates/load/src/decisions.rs
@@ -1,14 +1,13 @@
 //! Cost of one routing decision against the number of replicas.
 
-use std::fmt::Write as _;
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 use bulrushhoist_core::{
-    DataCentreName, DataCentreService, Dispatcher, DispatcherSettings, Event, FencingNumber,
-    Fingerprint, Group, GroupNumber, GroupPhase, Member, MemberId, NewRequest, Outcome, Register,
-    RegisteredDaemon, ReplicaKey, ReplicaView, RequestId, SourceFile, Standing, Time, check_files,
+    DataCentreName, Dispatcher, DispatcherSettings, Event, Fingerprint, NewRequest, Outcome,
+    RequestId, Time,
 };
+use bulrushhoist_oracle::fixtures;
 use smallvec::SmallVec;
 
 /// Requests decided in one measurement.
@@ -33,8 +32,8 @@
 
 fn measure(replicas: u64) -> DecisionCost {
     let mut dispatcher = dispatcher(replicas);
-    let team: bulrushhoist_core::TeamName = "shop".parse().expect("a sound name");
-    let workload: bulrushhoist_core::WorkloadName = "bench".parse().expect("a sound name");
+    let team: bulrushhoist_core::TeamName = fixtures::name("shop");
+    let workload: bulrushhoist_core::WorkloadName = fixtures::name("bench");
     let mut running = std::collections::VecDeque::new();
     let now = Time::from_millis(1);
     let start = Instant::now();
@@ -68,72 +67,29 @@
     }
 }
 
-fn dispatcher(replicas: u64) -> Dispatcher {
-    let mut text = String::from(
-        "[models.bench]\nversion = \"1\"\nvms-per-replica = 1\ncold-limit = 64\nwarm-limit = 64\n\
-         checks-fencing = true\n[teams.shop]\nmax-in-flight = 1000000\n\
-         token-sha256 = \"0000000000000000000000000000000000000000000000000000000000000000\"\n\
-         [data-centres.east]\nregion = \"south\"\n[models.bench.replicas]\n",
-    );
-    // Writing to a string cannot fail.
-    let _ = writeln!(text, "east = {replicas}");
-    let files = [SourceFile {
-        name: "bench.toml".into(),
-        text,
-    }];
-    let deployment = check_files(&files).expect("the file is sound");
-    let home: DataCentreName = "east".parse().expect("a sound name");
-    let own = MemberId::new(1);
-    let groups: Vec<Group> = (0..replicas).map(group).collect();
-    let mut dispatcher = Dispatcher::new(DispatcherSettings::default(), own);
-    dispatcher.router_mut().set_standing(Standing::Settled);
-    dispatcher.set_fresh_until(Time::from_micros(u64::MAX));
-    let views = groups.iter().map(|group| ReplicaView {
-        data_centre: &home,
-        group,
-    });
-    let service = DataCentreService::default();
-    dispatcher.reconfigure(&deployment, &service, &register(own), &home, views);
-    for group in &groups {
-        let key = ReplicaKey {
-            data_centre: home.clone(),
-            number: group.number,
-        };
-        dispatcher
-            .router_mut()
-            .set_serving(&key, Some(Time::from_micros(u64::MAX)));
-    }
-    dispatcher
-}
+/// A deployment of one model and one team.
+const FILE: &str = r#"
+[data-centres.east]
+region = "south"
+[models.bench]
+version = "1"
+vms-per-replica = 1
+cold-limit = 64
+warm-limit = 64
+checks-fencing = true
+[models.bench.replicas]
+east = 1
+[teams.shop]
+max-in-flight = 1000000
+token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+"#;
 
-fn group(number: u64) -> Group {
-    let member = Member {
-        vm: format!("v{number}").parse().expect("a sound name"),
-        address: "127.0.0.1:1".parse().expect("a sound address"),
-    };
-    Group {
-        number: GroupNumber(number),
-        workload: "bench".parse().expect("a sound name"),
-        version: "1".parse().expect("a sound name"),
-        domain: None,
-        composition: FencingNumber::new(1),
-        members: SmallVec::from_iter([member]),
-        phase: GroupPhase::Active,
-        replacements: SmallVec::new(),
-    }
-}
-
-fn register(own: MemberId) -> Register {
-    let address = "127.0.0.1:1".parse().expect("a sound address");
-    let mut register = Register::default();
-    register.insert(RegisteredDaemon {
-        id: own,
-        incarnation: bulrushhoist_core::Incarnation::from(1),
-        data_centre: "east".parse().expect("a sound name"),
-        caller: address,
-        peer: address,
-        operator: address,
-        phase: bulrushhoist_core::DaemonPhase::Active,
-    });
-    register
+fn dispatcher(replicas: u64) -> Dispatcher {
+    let deployment = fixtures::deployment(FILE);
+    let home: DataCentreName = fixtures::name("east");
+    let workload = fixtures::name("bench");
+    let groups: Vec<_> = (0..replicas)
+        .map(|n| (home.clone(), fixtures::replica(&workload, n)))
+        .collect();
+    fixtures::dispatcher(&deployment, DispatcherSettings::default(), &home, &groups)
 }
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -9,16 +9,17 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    DaemonPhase, DataCentreName, DataCentreService, Deployment, Dispatcher, DispatcherSettings,
-    Event, Fencing, Fingerprint, Group, GroupNumber, GroupPhase, Incarnation, LimitSettings,
-    Member, MemberId, NewRequest, Outcome, Register, RegisteredDaemon, ReplicaKey, ReplicaLimit,
-    ReplicaView, RequestId, SourceFile, Standing, Time, VmPhase, VmStatus, check_files,
+    DataCentreName, DataCentreService, Deployment, Dispatcher, DispatcherSettings, Event, Fencing,
+    Fingerprint, Group, LimitSettings, MemberId, NewRequest, Outcome, Register, ReplicaKey,
+    ReplicaLimit, ReplicaView, RequestId, Standing, Time, VmPhase, VmStatus,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
 use proptest::sample::Index;
 use smallvec::SmallVec;
 
+use crate::fixtures;
+
 /// Freshness bound: an entry that takes work knows the register of then.
 const LIFE: Duration = Duration::from_secs(3);
 /// Longest run of a request.
@@ -119,11 +120,7 @@
     /// A world with one cold replica and no entries.
     #[must_use]
     pub fn new() -> Self {
-        let files = [SourceFile {
-            name: "cold.toml".into(),
-            text: FILE.into(),
-        }];
-        let deployment = check_files(&files).expect("the world's own file is sound");
+        let deployment = fixtures::deployment(FILE);
         let workload = deployment
             .workloads
             .values()
@@ -136,20 +133,7 @@
             ramp: workload.ramp_requests,
             target: workload.first_token,
         };
-        let member = Member {
-            vm: "east-1".parse().expect("a sound name"),
-            address: "127.0.0.1:1".parse().expect("a sound address"),
-        };
-        let group = Group {
-            number: GroupNumber(1),
-            workload: workload.name.clone(),
-            version: workload.version.clone(),
-            domain: None,
-            composition: bulrushhoist_core::FencingNumber::new(1),
-            members: SmallVec::from_iter([member]),
-            phase: GroupPhase::Active,
-            replacements: SmallVec::new(),
-        };
+        let group = fixtures::replica(&workload.name, 1);
         Self {
             now: Time::from_millis(100_000),
             home: "east".parse().expect("a sound name"),
@@ -246,9 +230,7 @@
                     .dispatcher
                     .router_mut()
                     .set_standing(Standing::Newcomer(self.now));
-                entry
-                    .dispatcher
-                    .set_fresh_until(Time::from_micros(u64::MAX));
+                entry.dispatcher.set_fresh_until(fixtures::FOREVER);
             }
             Some(joined) if self.now.since(joined) >= NEWCOMER => {
                 entry
@@ -265,19 +247,9 @@
             return;
         }
         let id = MemberId::new(self.next);
-        let port = u16::try_from(self.next).unwrap_or(u16::MAX);
         self.next += 1;
         let mut register = self.newest().clone();
-        let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-        register.insert(RegisteredDaemon {
-            id,
-            incarnation: Incarnation::from(u128::from(id.get())),
-            data_centre: self.home.clone(),
-            caller: address,
-            peer: address,
-            operator: address,
-            phase: DaemonPhase::Joining,
-        });
+        register.insert(fixtures::daemon(id, &self.home));
         self.registers.push((self.now, register));
         let settings = DispatcherSettings {
             seed: id.get(),
@@ -324,7 +296,7 @@
         let service = DataCentreService::default();
         let dispatcher = &mut entry.dispatcher;
         dispatcher.reconfigure(&self.deployment, &service, &register, &self.home, [view]);
-        let always = Some(Time::from_micros(u64::MAX));
+        let always = Some(fixtures::FOREVER);
         dispatcher.router_mut().set_serving(&key, always);
     }
 
@@ -411,7 +383,7 @@
         let key = self.key();
         for at in 0..self.entries.len() {
             self.probe(at);
-            let always = Some(Time::from_micros(u64::MAX));
+            let always = Some(fixtures::FOREVER);
             self.entries[at]
                 .dispatcher
                 .router_mut()
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod cold;
 mod config;
+pub mod fixtures;
 mod groups;
 mod poison;
 mod tickets;
--- /dev/null
+++ b/crates/oracle/tests/routing.rs
@@ -0,0 +1,184 @@
+//! Which replica a request goes to, and whether it may.
+
+use std::time::Duration;
+
+use bulrushhoist_core::{
+    DataCentreName, DataCentreService, Dispatcher, DispatcherSettings, Event, Fingerprint, Group,
+    MemberId, NewRequest, Outcome, Reason, Refusal, Register, ReplicaKey, ReplicaView, RequestId,
+    ServiceState, Time,
+};
+use bulrushhoist_oracle::fixtures::{FOREVER, daemon, deployment, dispatcher, name, replica};
+use smallvec::SmallVec;
+
+const FILE: &str = r#"
+[data-centres.east]
+region = "south"
+one-way-delay-us = 4000
+[data-centres.west]
+region = "south"
+one-way-delay-us = 4000
+[models.bench]
+version = "1"
+vms-per-replica = 1
+cold-limit = 4
+warm-limit = 4
+checks-fencing = true
+[models.bench.replicas]
+east = 4
+west = 1
+[teams.shop]
+max-in-flight = 6
+token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+"#;
+
+fn groups() -> Vec<(DataCentreName, Group)> {
+    let workload = name("bench");
+    let mut groups: Vec<_> = (1..=4)
+        .map(|n| (name("east"), replica(&workload, n)))
+        .collect();
+    groups.push((name("west"), replica(&workload, 9)));
+    groups
+}
+
+fn world() -> Dispatcher {
+    dispatcher(
+        &deployment(FILE),
+        DispatcherSettings::default(),
+        &name("east"),
+        &groups(),
+    )
+}
+
+fn request(number: u64, now: Time) -> NewRequest {
+    NewRequest {
+        id: RequestId::from(u128::from(number)),
+        team: name("shop"),
+        workload: name("bench"),
+        prefix: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        fingerprint: Fingerprint::new(number),
+        deadline: now + Duration::from_secs(1),
+        avoid: SmallVec::new(),
+    }
+}
+
+fn started(events: &[Event]) -> Option<ReplicaKey> {
+    events.iter().find_map(|e| match e {
+        Event::Start(_, choice) => Some(choice.replica.clone()),
+        Event::Refuse(..) => None,
+    })
+}
+
+fn refused(events: &[Event]) -> Option<Refusal> {
+    events.iter().find_map(|e| match e {
+        Event::Refuse(_, refusal) => Some(*refusal),
+        Event::Start(..) => None,
+    })
+}
+
+#[test]
+fn a_retry_goes_to_another_data_centre() {
+    for number in 0..50 {
+        let mut dispatcher = world();
+        let first = started(&dispatcher.submit(Time::ZERO, request(number, Time::ZERO)))
+            .expect("there is room");
+        dispatcher.finish(
+            Time::ZERO,
+            RequestId::from(u128::from(number)),
+            Outcome::Lost(None),
+        );
+        let mut again = request(number, Time::ZERO);
+        again.avoid.push(first.clone());
+        let second = started(&dispatcher.submit(Time::ZERO, again)).expect("there is room");
+        assert_ne!(second.data_centre, first.data_centre);
+    }
+}
+
+#[test]
+fn a_retry_stays_if_there_is_no_other_data_centre() {
+    let mut dispatcher = world();
+    let key = ReplicaKey {
+        data_centre: name("west"),
+        number: groups()[4].1.number,
+    };
+    dispatcher.router_mut().set_serving(&key, None);
+    let first = started(&dispatcher.submit(Time::ZERO, request(1, Time::ZERO)));
+    let first = first.expect("there is room");
+    let mut again = request(2, Time::ZERO);
+    again.avoid.push(first.clone());
+    let second = started(&dispatcher.submit(Time::ZERO, again)).expect("there is room");
+    assert_ne!(second, first);
+}
+
+#[test]
+fn nothing_starts_in_a_data_centre_that_is_out() {
+    let mut dispatcher = world();
+    let mut service = DataCentreService::default();
+    service.set(&name("east"), ServiceState::Out);
+    let mut register = Register::default();
+    register.insert(daemon(MemberId::new(1), &name("east")));
+    let groups = groups();
+    let running = started(&dispatcher.submit(Time::ZERO, request(1, Time::ZERO)));
+    assert!(running.is_some());
+    let views = groups
+        .iter()
+        .map(|(data_centre, group)| ReplicaView { data_centre, group });
+    dispatcher.reconfigure(&deployment(FILE), &service, &register, &name("east"), views);
+    for number in 2..5 {
+        let events = dispatcher.submit(Time::ZERO, request(number, Time::ZERO));
+        let replica = started(&events).expect("the other data centre has room");
+        assert_eq!(replica.data_centre.as_str(), "west");
+    }
+}
+
+#[test]
+fn a_decision_that_was_paused_over_is_not_carried_out() {
+    let mut dispatcher = world();
+    let id = RequestId::from(1);
+    let replica = started(&dispatcher.submit(Time::ZERO, request(1, Time::ZERO)));
+    let replica = replica.expect("there is room");
+    assert!(dispatcher.may_send(Time::ZERO, id));
+    dispatcher
+        .router_mut()
+        .set_serving(&replica, Some(Time::from_millis(2_000)));
+    assert!(
+        !dispatcher.may_send(Time::from_millis(2_000), id),
+        "the evidence has expired"
+    );
+    dispatcher.router_mut().set_serving(&replica, Some(FOREVER));
+    dispatcher.set_fresh_until(Time::from_millis(3_000));
+    assert!(
+        !dispatcher.may_send(Time::from_millis(3_000), id),
+        "the proof has expired"
+    );
+    let events = dispatcher.submit(Time::from_millis(3_000), request(2, Time::ZERO));
+    assert_eq!(refused(&events), Some(Refusal::not_run(Reason::Stale)));
+}
+
+#[test]
+fn a_team_has_no_more_in_flight_than_it_may() {
+    let mut dispatcher = world();
+    for number in 0..6 {
+        assert!(started(&dispatcher.submit(Time::ZERO, request(number, Time::ZERO))).is_some());
+    }
+    let events = dispatcher.submit(Time::ZERO, request(6, Time::ZERO));
+    assert_eq!(refused(&events), Some(Refusal::not_run(Reason::TeamLimit)));
+}
+
+#[test]
+fn retries_stay_a_share_of_successes() {
+    let mut dispatcher = world();
+    let team = name("shop");
+    let saved = (0..1_000).filter(|_| dispatcher.try_retry(&team)).count();
+    assert_eq!(saved, 20, "what was saved up");
+    for number in 0..100 {
+        let events = dispatcher.submit(Time::ZERO, request(number, Time::ZERO));
+        assert!(started(&events).is_some());
+        let id = RequestId::from(u128::from(number));
+        dispatcher.finish(Time::ZERO, id, Outcome::Answered(Duration::from_millis(50)));
+    }
+    let earned = (0..1_000).filter(|_| dispatcher.try_retry(&team)).count();
+    assert!(
+        (9..=10).contains(&earned),
+        "{earned} retries for 100 successes"
+    );
+}
