Probe each group from two daemons and share the findings

Ruled out: longer periods (evidence must not expire between probes) and relaying every VM's report (24 KB/s). Change: two daemons by rendezvous hash probe each group; the others ask them and date a finding by their own question's sending, less the age that the answer names. What no finding covers for long is probed directly.

The fuzz world has a second entry that lives by findings alone, with delayed answers.

Controllers still probe their whole data centre.

--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -4,7 +4,9 @@
 //! is fresh and names the expected group, fencing number, rank, workload and
 //! version. Freshness counts from the moment the probe was sent, on the
 //! reader's own clock, so a slow answer or a pause of the reader can only
-//! shorten it. See `docs/decisions/0003-groups.md`.
+//! shorten it. Another daemon's finding about a whole group counts as well,
+//! dated by its age before the question was sent. See
+//! `docs/decisions/0003-groups.md` and `0009-shared-probes.md`.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,7 +14,8 @@
 use derive_more::Display;
 
 use crate::allocation::{Group, GroupPhase, Member};
-use crate::ids::VmName;
+use crate::ids::{FencingNumber, VmName};
+use crate::route::ReplicaKey;
 use crate::time::Time;
 use crate::vm::{VmPhase, VmStatus};
 
@@ -36,6 +39,15 @@
     Mismatch(VmName),
 }
 
+/// What another daemon found out about a whole group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayedEvidence {
+    /// Composition that every member reported.
+    pub composition: FencingNumber,
+    /// Moment, on this daemon's clock, that the oldest report is no older than.
+    pub dated: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Report {
     sent: Time,
@@ -48,6 +60,7 @@
     life: Duration,
     reports: HashMap<VmName, Report>,
     distrusted: HashMap<VmName, Time>,
+    relayed: HashMap<ReplicaKey, RelayedEvidence>,
 }
 
 impl EvidenceBook {
@@ -58,6 +71,7 @@
             life,
             reports: HashMap::new(),
             distrusted: HashMap::new(),
+            relayed: HashMap::new(),
         }
     }
 
@@ -90,6 +104,14 @@
         self.distrusted.insert(vm.clone(), now);
     }
 
+    /// Records another daemon's finding, unless a newer one is on record.
+    pub fn record_relayed(&mut self, key: &ReplicaKey, evidence: RelayedEvidence) {
+        let newest = self.relayed.entry(key.clone()).or_insert(evidence);
+        if evidence.dated > newest.dated {
+            *newest = evidence;
+        }
+    }
+
     /// Drops the VMs for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(&VmName) -> bool) {
         self.reports.retain(|vm, _| keep(vm));
@@ -109,7 +131,46 @@
         (now < report.sent + self.life).then_some(&report.status)
     }
 
-    /// Returns until when the group may take work, or why it may not.
+    /// Returns until when the group may take work by this daemon's reports and
+    /// by what others found out, or why it may not.
+    pub fn serving_until_shared(
+        &self,
+        now: Time,
+        key: &ReplicaKey,
+        group: &Group,
+    ) -> Result<Time, NotServing> {
+        let own = self.serving_until(now, group);
+        if group.phase != GroupPhase::Active {
+            return own;
+        }
+        match (own, self.relayed_until(now, key, group)) {
+            (Ok(own), Some(relayed)) => Ok(own.max(relayed)),
+            (Err(_), Some(relayed)) => Ok(relayed),
+            (own, None) => own,
+        }
+    }
+
+    /// A finding that is not newer than a failure seen here does not count.
+    fn relayed_until(&self, now: Time, key: &ReplicaKey, group: &Group) -> Option<Time> {
+        let evidence = self.relayed.get(key)?;
+        let failed = group
+            .members
+            .iter()
+            .filter_map(|m| self.distrusted.get(&m.vm))
+            .max();
+        let contradicted = group.members.iter().any(|m| {
+            let report = self.reports.get(&m.vm);
+            report.is_some_and(|r| r.sent >= evidence.dated && !agrees(&r.status, group))
+        });
+        let counts = evidence.composition == group.composition
+            && failed.is_none_or(|at| evidence.dated > *at)
+            && !contradicted;
+        let until = evidence.dated + self.life;
+        (counts && now < until).then_some(until)
+    }
+
+    /// Returns until when the group may take work by this daemon's own reports,
+    /// or why it may not.
     pub fn serving_until(&self, now: Time, group: &Group) -> Result<Time, NotServing> {
         match group.phase {
             GroupPhase::Active => {}
@@ -151,3 +212,10 @@
         Ok(until)
     }
 }
+
+/// Whether a report names the group and composition that it should.
+fn agrees(status: &VmStatus, group: &Group) -> bool {
+    status.group == Some(group.number)
+        && status.composition == group.composition
+        && status.phase == VmPhase::Ready
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,7 +41,7 @@
     WorkloadKind, check_files,
 };
 pub use dispatch::{Dispatcher, DispatcherSettings, Event, NewRequest, Outcome, ReplicaView};
-pub use evidence::{EvidenceBook, NotServing};
+pub use evidence::{EvidenceBook, NotServing, RelayedEvidence};
 pub use freshness::{Freshness, FreshnessSettings};
 pub use ids::{
     DataCentreName, DomainName, FencingNumber, Fingerprint, Incarnation, InvalidName, MemberId,
@@ -63,4 +63,4 @@
     Answer, BookLimits, Digest, Presented, Seal, Ticket, TicketBook, TicketError, TicketOutcome,
 };
 pub use time::Time;
-pub use vm::{VmPhase, VmRecord, VmStatus};
+pub use vm::{LoadReport, VmPhase, VmRecord, VmStatus};
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -73,15 +73,19 @@
     }
 
     /// Takes the endpoint's report: the run of its process and the requests
-    /// it served since it became cold.
+    /// it served since it became cold. Reports of several probers may come out
+    /// of order, so a slightly lower count is not taken for a fresh start.
     pub fn on_report(&mut self, epoch: u64, served: u64) {
-        if epoch != self.epoch || served < self.served {
-            self.epoch = epoch;
-            self.served_at_collapse = 0;
-            self.factor = 1.0;
-            self.latency_s = None;
+        let restarted = epoch != self.epoch || served < self.served / 2;
+        if !restarted {
+            self.served = self.served.max(served);
+            return;
         }
+        self.epoch = epoch;
         self.served = served;
+        self.served_at_collapse = 0;
+        self.factor = 1.0;
+        self.latency_s = None;
     }
 
     /// Takes the time to the first token of one answer.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -169,6 +169,20 @@
         self.known.iter().map(target).collect()
     }
 
+    /// Returns the other members that are not known to be dead.
+    #[must_use]
+    pub fn live(&self) -> Vec<ProbeTarget> {
+        let live = self
+            .known
+            .iter()
+            .filter(|(_, k)| k.state != MemberState::Dead);
+        live.map(|(id, k)| ProbeTarget {
+            member: *id,
+            address: k.address,
+        })
+        .collect()
+    }
+
     /// Takes a reply, direct or through a helper.
     pub fn on_reply(&mut self, now: Time, member: MemberId, incarnation: u64) {
         let Some(known) = self.known.get_mut(&member) else {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -18,7 +18,7 @@
 use crate::ids::{DataCentreName, VmName, WorkloadName, stable_hash};
 use crate::limit::{LimitSettings, ReplicaLimit, share_of};
 use crate::time::Time;
-use crate::vm::VmStatus;
+use crate::vm::LoadReport;
 
 /// Replicas looked at for the sake of a cached prefix.
 const PREFIX_SAMPLES: usize = 2;
@@ -100,6 +100,7 @@
     limit: ReplicaLimit,
     in_flight: u32,
     reported: Option<u32>,
+    reported_at: Time,
     serving_until: Time,
     slot: Option<usize>,
 }
@@ -201,6 +202,7 @@
                     limit: ReplicaLimit::new(spec.limits),
                     in_flight: other.map_or(0, |o| o.in_flight),
                     reported: None,
+                    reported_at: Time::ZERO,
                     serving_until: Time::ZERO,
                     slot: None,
                     spec,
@@ -228,10 +230,14 @@
     }
 
     /// Takes an endpoint's report that answers a probe sent at `sent`.
-    pub fn on_report(&mut self, key: &ReplicaKey, sent: Time, report: &VmStatus) {
+    pub fn on_report(&mut self, key: &ReplicaKey, sent: Time, report: LoadReport) {
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
+        if sent < replica.reported_at {
+            return;
+        }
+        replica.reported_at = sent;
         replica.limit.on_report(report.epoch, report.served);
         let counts = match self.standing {
             Standing::Joining => false,
--- a/crates/core/src/vm.rs
+++ b/crates/core/src/vm.rs
@@ -37,6 +37,27 @@
     Ready,
 }
 
+/// The part of a leader's report that limits need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Number of the endpoint process's run.
+    pub epoch: u64,
+    /// Requests finished since the endpoint last became cold.
+    pub served: u64,
+    /// Requests running.
+    pub running: u32,
+}
+
+impl From<&VmStatus> for LoadReport {
+    fn from(status: &VmStatus) -> Self {
+        Self {
+            epoch: status.epoch,
+            served: status.served,
+            running: status.running,
+        }
+    }
+}
+
 /// An endpoint's report of itself. Load figures lag.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/daemon/src/controllers.rs
+++ b/crates/daemon/src/controllers.rs
@@ -6,6 +6,7 @@
 mod probation;
 mod probe;
 mod register;
+mod reports;
 mod sync;
 
 pub(crate) use gossip::{PeerChannels, announce_strikes};
@@ -29,6 +30,7 @@
     tasks.spawn(sync::run(Arc::clone(node)));
     tasks.spawn(gossip::run(Arc::clone(node)));
     tasks.spawn(probe::run(Arc::clone(node)));
+    tasks.spawn(reports::run(Arc::clone(node)));
     tasks.spawn(placement::run(Arc::clone(node)));
     tasks.spawn(register::run(Arc::clone(node)));
     tasks.spawn(tick(Arc::clone(node)));
--- a/crates/daemon/src/controllers/peer_server.rs
+++ b/crates/daemon/src/controllers/peer_server.rs
@@ -16,6 +16,7 @@
 
 use super::gossip::{PEER_KEY_HEADER, exchange, gossip, take_news};
 use super::probation;
+use super::reports::own_reports;
 use crate::node::Node;
 
 struct Service {
@@ -102,6 +103,14 @@
         Ok(Response::new(peer::ProbationReply { granted: true }))
     }
 
+    async fn pull_reports(
+        &self,
+        request: Request<peer::ReportQuery>,
+    ) -> Result<Response<peer::GroupReports>, Status> {
+        self.check_key(&request)?;
+        Ok(Response::new(own_reports(&self.node)))
+    }
+
     async fn fetch_objects(
         &self,
         request: Request<peer::ObjectDigests>,
--- a/crates/daemon/src/controllers/placement.rs
+++ b/crates/daemon/src/controllers/placement.rs
@@ -12,7 +12,7 @@
 use bulrushhoist_platform::{StoreError, Stored};
 use slog::{info, warn};
 
-use super::probe::probe_spares;
+use super::probe::probe_controlled;
 use crate::metrics::PlatformCall;
 use crate::node::Node;
 
@@ -89,7 +89,7 @@
         .into_iter()
         .filter(|r| r.data_centre == *data_centre)
         .collect();
-    probe_spares(node, &vms).await;
+    probe_controlled(node, &vms).await;
     let key = ObjectKey::allocation(data_centre);
     node.metrics.on_platform_call(PlatformCall::Read);
     let mut stored = node.store.read::<Allocation>(&key).await?;
--- a/crates/daemon/src/controllers/probe.rs
+++ b/crates/daemon/src/controllers/probe.rs
@@ -5,32 +5,50 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushhoist_core::{VmName, VmRecord};
+use bulrushhoist_core::{Allocation, Group, VmName, VmRecord};
 
-use crate::node::Node;
+use crate::node::{Node, replica_key};
 
-/// Probes the members of every group in each period, spread over it.
+/// In each period, probes the groups that this daemon probes for all, and
+/// those that no daemon's report covers for much longer.
 pub(super) async fn run(node: Arc<Node>) {
-    let mut interval = tokio::time::interval(node.settings.timing.probe);
+    let period = node.settings.timing.probe;
+    let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        let members = members(&node);
-        probe_all(&node, members, node.settings.timing.probe / 2).await;
+        let targets = targets(&node);
+        probe_all(&node, targets, period / 2).await;
+        let mut core = node.core();
+        let now = node.now();
+        node.refresh_serving(&mut core, now);
     }
 }
 
-fn members(node: &Node) -> Vec<(VmName, SocketAddr)> {
+fn targets(node: &Node) -> Vec<(VmName, SocketAddr)> {
     let view = node.view();
-    let members = view.groups().flat_map(|(_, g)| g.members.iter());
-    members.map(|m| (m.vm.clone(), m.address)).collect()
+    let core = node.core();
+    let now = node.now();
+    let soon = now + node.settings.timing.evidence / 2;
+    let is_due = |allocation: &Allocation, group: &Group| {
+        let key = replica_key(allocation, group);
+        let until = core.evidence.serving_until_shared(now, &key, group);
+        view.is_probed(&key) || until.is_err() || until.is_ok_and(|until| until < soon)
+    };
+    let due = view
+        .groups()
+        .filter(|(allocation, group)| is_due(allocation, group));
+    due.flat_map(|(_, g)| &g.members)
+        .map(|m| (m.vm.clone(), m.address))
+        .collect()
 }
 
-/// Probes the VMs of a list that belong to no group: a controller's spares.
-pub(super) async fn probe_spares(node: &Arc<Node>, vms: &[VmRecord]) {
-    let grouped: HashSet<VmName> = members(node).into_iter().map(|(vm, _)| vm).collect();
-    let spares = vms.iter().filter(|r| !grouped.contains(&r.vm));
-    let targets = spares.map(|r| (r.vm.clone(), r.address)).collect();
+/// Probes the VMs of a data centre that this daemon controls, but for those
+/// that it probes anyway.
+pub(super) async fn probe_controlled(node: &Arc<Node>, vms: &[VmRecord]) {
+    let probed: HashSet<VmName> = targets(node).into_iter().map(|(vm, _)| vm).collect();
+    let others = vms.iter().filter(|r| !probed.contains(&r.vm));
+    let targets = others.map(|r| (r.vm.clone(), r.address)).collect();
     probe_all(node, targets, Duration::ZERO).await;
 }
 
--- /dev/null
+++ b/crates/daemon/src/controllers/reports.rs
@@ -0,0 +1,124 @@
+//! Learns from other daemons what their probes of endpoints found.
+//!
+//! Each group is probed by two daemons for all. The others ask them, so that a
+//! VM is not probed by every entry. A finding is dated on the asker's clock by
+//! the sending of its question, less the age that the answer names; delays and
+//! pauses can only shorten the time that it counts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushhoist_core::{
+    DataCentreName, FencingNumber, GroupNumber, LoadReport, ProbeTarget, RelayedEvidence,
+    ReplicaKey, Time,
+};
+use bulrushhoist_wire::peer;
+use bulrushhoist_wire::peer::peer_client::PeerClient;
+use prost::Message as _;
+
+use super::gossip::request;
+use crate::node::{Node, replica_key};
+
+/// Asks one half of the live daemons in each period and the other half in the
+/// next, so that the two probers of a group are asked at different times.
+pub(super) async fn run(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(node.settings.timing.probe);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut half = 0;
+    loop {
+        interval.tick().await;
+        half = 1 - half;
+        let mut others = node.core().membership.live();
+        others.sort_unstable_by_key(|o| o.member);
+        for other in others.into_iter().skip(half).step_by(2) {
+            tokio::spawn(pull(Arc::clone(&node), other));
+        }
+    }
+}
+
+async fn pull(node: Arc<Node>, target: ProbeTarget) {
+    let Some(channel) = node.peers.get(&node, target) else {
+        return;
+    };
+    let sent = node.now();
+    let query = request(&node, peer::ReportQuery {});
+    let Ok(reply) = PeerClient::new(channel).pull_reports(query).await else {
+        return;
+    };
+    for reports in reply.into_inner().data_centres {
+        let Ok(data_centre) = reports.data_centre.parse::<DataCentreName>() else {
+            continue;
+        };
+        for report in &reports.groups {
+            let number = GroupNumber(report.number);
+            let key = ReplicaKey {
+                data_centre: data_centre.clone(),
+                number,
+            };
+            take(&node, sent, &key, report);
+        }
+    }
+}
+
+fn take(node: &Node, sent: Time, key: &ReplicaKey, report: &peer::GroupReport) {
+    let evidence = RelayedEvidence {
+        composition: FencingNumber::new(report.composition),
+        dated: sent - Duration::from_micros(report.age_us),
+    };
+    let load = LoadReport {
+        epoch: report.epoch,
+        served: report.served,
+        running: report.running,
+    };
+    let load_dated = sent - Duration::from_micros(report.load_age_us);
+    node.take_relayed(key, evidence, load_dated, load);
+}
+
+/// Builds the findings of this daemon's own probes.
+pub(super) fn own_reports(node: &Node) -> peer::GroupReports {
+    let view = node.view();
+    let core = node.core();
+    let now = node.now();
+    let life = node.settings.timing.evidence;
+    let mut by_data_centre: BTreeMap<&str, Vec<peer::GroupReport>> = BTreeMap::new();
+    for (allocation, group) in view.groups() {
+        if !view.is_probed(&replica_key(allocation, group)) {
+            continue;
+        }
+        let Ok(until) = core.evidence.serving_until(now, group) else {
+            continue;
+        };
+        let leader = group
+            .members
+            .first()
+            .and_then(|m| core.evidence.latest(&m.vm));
+        let Some((leader_sent, status)) = leader else {
+            continue;
+        };
+        let age = (now + life).since(until);
+        let load = LoadReport::from(status);
+        let reports = by_data_centre
+            .entry(allocation.data_centre.as_str())
+            .or_default();
+        reports.push(peer::GroupReport {
+            number: group.number.0,
+            composition: group.composition.get(),
+            age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            epoch: load.epoch,
+            served: load.served,
+            running: load.running,
+            load_age_us: u64::try_from(now.since(leader_sent).as_micros()).unwrap_or(u64::MAX),
+        });
+    }
+    let data_centres = by_data_centre
+        .into_iter()
+        .map(|(name, groups)| peer::DataCentreReports {
+            data_centre: name.to_owned(),
+            groups,
+        })
+        .collect();
+    let reports = peer::GroupReports { data_centres };
+    node.metrics.on_peer_bytes(reports.encoded_len());
+    reports
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,9 +7,9 @@
 use arc_swap::ArcSwap;
 use bulrushhoist_core::{
     Allocation, Choice, DaemonPhase, Dispatcher, DispatcherSettings, Event, EvidenceBook,
-    Freshness, FreshnessSettings, Group, Incarnation, MemberId, Membership, MembershipSettings,
-    NewRequest, ObjectCache, ObjectKey, Outcome, Reason, Refusal, RegisteredDaemon, ReplicaKey,
-    ReplicaView, RequestId, Time, VmName, VmStatus,
+    Freshness, FreshnessSettings, Group, Incarnation, LoadReport, MemberId, Membership,
+    MembershipSettings, NewRequest, ObjectCache, ObjectKey, Outcome, Reason, Refusal,
+    RegisteredDaemon, RelayedEvidence, ReplicaKey, ReplicaView, RequestId, Time, VmName, VmStatus,
 };
 use bulrushhoist_engine::EndpointApi;
 use bulrushhoist_platform::Store;
@@ -162,7 +162,7 @@
 
     fn apply_cache(&self, core: &mut Core) {
         let before = self.view.load();
-        let view = match View::read(&core.cache, &before) {
+        let view = match View::read(&core.cache, &before, self.id) {
             Ok(view) => view,
             Err(problems) => {
                 warn!(self.log, "accepted configuration fails its check"; "problems" => %problems);
@@ -214,7 +214,28 @@
         refresh_group(&mut core, self.now(), allocation, group);
         if group.members.first().is_some_and(|m| m.vm == *vm) {
             let key = replica_key(allocation, group);
-            core.dispatcher.router_mut().on_report(&key, sent, &status);
+            core.dispatcher
+                .router_mut()
+                .on_report(&key, sent, (&status).into());
+        }
+    }
+
+    /// Takes another daemon's finding about a group.
+    pub(crate) fn take_relayed(
+        &self,
+        key: &ReplicaKey,
+        evidence: RelayedEvidence,
+        load_dated: Time,
+        load: LoadReport,
+    ) {
+        let view = self.view.load();
+        let mut core = self.core();
+        core.evidence.record_relayed(key, evidence);
+        if let Some((allocation, group)) = view.group(key) {
+            refresh_group(&mut core, self.now(), allocation, group);
+            core.dispatcher
+                .router_mut()
+                .on_report(key, load_dated, load);
         }
     }
 
@@ -343,7 +364,10 @@
         let now = self.now();
         let serving = view
             .groups()
-            .filter(|(_, group)| core.evidence.serving_until(now, group).is_ok())
+            .filter(|(a, group)| {
+                let key = replica_key(a, group);
+                core.evidence.serving_until_shared(now, &key, group).is_ok()
+            })
             .count();
         let workloads = view.deployment.workloads.values();
         let declared: u32 = workloads.flat_map(|w| w.replicas.values()).sum();
@@ -364,7 +388,7 @@
     }
 }
 
-fn replica_key(allocation: &Allocation, group: &Group) -> ReplicaKey {
+pub(crate) fn replica_key(allocation: &Allocation, group: &Group) -> ReplicaKey {
     ReplicaKey {
         data_centre: allocation.data_centre.clone(),
         number: group.number,
@@ -373,10 +397,9 @@
 
 /// Recomputes until when one group may take work; returns whether it may.
 fn refresh_group(core: &mut Core, now: Time, allocation: &Allocation, group: &Group) -> bool {
-    let until = core.evidence.serving_until(now, group).ok();
-    core.dispatcher
-        .router_mut()
-        .set_serving(&replica_key(allocation, group), until);
+    let key = replica_key(allocation, group);
+    let until = core.evidence.serving_until_shared(now, &key, group).ok();
+    core.dispatcher.router_mut().set_serving(&key, until);
     until.is_some()
 }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use subtle::ConstantTimeEq as _;
 
-use crate::node::Node;
+use crate::node::{Node, replica_key};
 
 /// Content type of Prometheus' text form.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
@@ -130,13 +130,14 @@
         .groups()
         .map(|(allocation, group)| {
             let out = view.service.state(&allocation.data_centre) == ServiceState::Out;
-            let why = match core.evidence.serving_until(now, group) {
+            let key = replica_key(allocation, group);
+            let why = match core.evidence.serving_until_shared(now, &key, group) {
                 Ok(_) if out => Some("the data centre is out of service".to_owned()),
                 Ok(_) => None,
                 Err(reason) => Some(reason.to_string()),
             };
             json!({
-                "group": format!("{}/{}", allocation.data_centre, group.number),
+                "group": key.to_string(),
                 "workload": group.workload,
                 "version": group.version,
                 "domain": group.domain,
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -1,12 +1,18 @@
 //! What the daemon knows of the shared objects, ready for reading.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use bulrushhoist_core::{
-    Allocation, DataCentreService, Deployment, Group, Manifest, ObjectCache, ObjectKey, Problems,
-    Register, Revision, SourceFile, Stamped, VmName, check_files,
+    Allocation, DataCentreService, Deployment, Group, Manifest, MemberId, ObjectCache, ObjectKey,
+    Problems, Register, ReplicaKey, Revision, SourceFile, Stamped, VmName, check_files,
 };
 
+use crate::node::replica_key;
+
+/// Daemons that probe each group for all. Two, so that a group stays in use
+/// when one of them stops.
+const PROBERS: usize = 2;
+
 /// One consistent picture of the shared objects.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -17,13 +23,24 @@
     pub(crate) register: Register,
     pub(crate) allocations: Vec<Allocation>,
     /// Place of each VM's group: its allocation and its index there.
-    places: HashMap<VmName, (usize, usize)>,
+    places: HashMap<VmName, Place>,
+    /// Place of each group.
+    groups: HashMap<ReplicaKey, Place>,
+    /// Groups that this daemon probes for all.
+    probed: HashSet<ReplicaKey>,
 }
 
+/// Index of an allocation, and of a group in it.
+type Place = (usize, usize);
+
 impl View {
     /// Reads the cache. The configuration is taken over from `before` while a
     /// part of the new one is missing.
-    pub(crate) fn read(cache: &ObjectCache, before: &Self) -> Result<Self, Problems> {
+    pub(crate) fn read(
+        cache: &ObjectCache,
+        before: &Self,
+        own: MemberId,
+    ) -> Result<Self, Problems> {
         let manifest = cache.read::<Manifest>(&ObjectKey::manifest());
         let newer = manifest.filter(|m| m.revision > before.generation);
         let (generation, deployment) = match newer.map(|m| (m.revision, m.body)) {
@@ -48,14 +65,42 @@
             .map(|s| s.body)
             .unwrap_or_default();
         let places = places(&allocations);
-        Ok(Self {
+        let mut view = Self {
             generation,
             deployment,
             service,
             register,
             allocations,
             places,
-        })
+            ..Self::default()
+        };
+        view.index_groups(own);
+        Ok(view)
+    }
+
+    fn index_groups(&mut self, own: MemberId) {
+        for (at, allocation) in self.allocations.iter().enumerate() {
+            for (index, group) in allocation.groups.iter().enumerate() {
+                let key = replica_key(allocation, group);
+                let ranked = self.register.ranked(&format!("prober/{key}"));
+                if ranked.iter().take(PROBERS).any(|id| *id == own) {
+                    self.probed.insert(key.clone());
+                }
+                self.groups.insert(key, (at, index));
+            }
+        }
+    }
+
+    /// Returns whether this daemon probes a group for all.
+    pub(crate) fn is_probed(&self, key: &ReplicaKey) -> bool {
+        self.probed.contains(key)
+    }
+
+    /// Returns a group with its allocation.
+    pub(crate) fn group(&self, key: &ReplicaKey) -> Option<(&Allocation, &Group)> {
+        let (at, index) = *self.groups.get(key)?;
+        let allocation = self.allocations.get(at)?;
+        Some((allocation, allocation.groups.get(index)?))
     }
 
     /// Returns the group that a VM belongs to.
@@ -73,7 +118,7 @@
     }
 }
 
-fn places(allocations: &[Allocation]) -> HashMap<VmName, (usize, usize)> {
+fn places(allocations: &[Allocation]) -> HashMap<VmName, Place> {
     let mut places = HashMap::new();
     for (at, allocation) in allocations.iter().enumerate() {
         for (index, group) in allocation.groups.iter().enumerate() {
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -10,8 +10,8 @@
 
 use bulrushhoist_core::{
     DataCentreName, DataCentreService, Deployment, Dispatcher, DispatcherSettings, Event, Fencing,
-    Fingerprint, Group, LimitSettings, MemberId, NewRequest, Outcome, Register, ReplicaKey,
-    ReplicaLimit, ReplicaView, RequestId, Standing, Time, VmPhase, VmStatus,
+    Fingerprint, Group, LimitSettings, LoadReport, MemberId, NewRequest, Outcome, Register,
+    ReplicaKey, ReplicaLimit, ReplicaView, RequestId, Standing, Time,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_oneof};
@@ -349,23 +349,16 @@
 
     fn probe(&mut self, at: usize) {
         let key = self.key();
-        let report = VmStatus {
-            vm: self.group.members[0].vm.clone(),
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let report = LoadReport {
             epoch: self.epoch,
-            phase: VmPhase::Ready,
-            group: Some(self.group.number),
-            fencing: self.group.composition,
-            composition: self.group.composition,
-            rank: 0,
-            workload: Some(self.group.workload.clone()),
-            version: Some(self.group.version.clone()),
-            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             served: self.served,
+            running,
         };
         self.entries[at]
             .dispatcher
             .router_mut()
-            .on_report(&key, self.now, &report);
+            .on_report(&key, self.now, report);
     }
 
     /// A restart is noticed: the group is out of use until every entry has a
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -8,14 +8,16 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    Allocation, Deployment, EvidenceBook, FencingNumber, Incarnation, Lease, LeaseSettings,
+    Allocation, Deployment, EvidenceBook, FencingNumber, Group, Incarnation, Lease, LeaseSettings,
     LeaseStep, LeaseWatch, Member, MemberId, Order, OrderKind, PlacementSettings, Plan, Planner,
-    Situation, SourceFile, Time, VmName, VmPhase, VmRecord, VmStatus, check_files,
+    RelayedEvidence, ReplicaKey, Situation, Time, VmName, VmPhase, VmRecord, VmStatus,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Strategy, any, prop_oneof};
 use proptest::sample::Index;
 
+use crate::fixtures;
+
 /// Time for which a report counts.
 const EVIDENCE: Duration = Duration::from_secs(2);
 /// Time that weights take to load.
@@ -61,6 +63,12 @@
     Survey(usize),
     /// The entry probes every VM.
     EntrySurvey,
+    /// A second entry, which probes nothing, asks the first for its findings.
+    PullSend,
+    /// The first entry answers.
+    PullServe,
+    /// The answer arrives.
+    PullArrive,
     /// A controller takes or renews its lease.
     RenewLease(usize),
     /// A controller plans; its write or orders leave at once or later.
@@ -96,6 +104,9 @@
         60 => proptest::prelude::Just(GroupAction::Round),
         10 => controller().prop_map(GroupAction::Survey),
         8 => proptest::prelude::Just(GroupAction::EntrySurvey),
+        4 => proptest::prelude::Just(GroupAction::PullSend),
+        4 => proptest::prelude::Just(GroupAction::PullServe),
+        4 => proptest::prelude::Just(GroupAction::PullArrive),
         6 => controller().prop_map(GroupAction::RenewLease),
         14 => (controller(), proptest::bool::weighted(0.2))
             .prop_map(|(c, late)| GroupAction::Plan(c, late)),
@@ -144,6 +155,12 @@
     order: Order,
 }
 
+/// A question for findings, and what was answered: compositions with ages.
+struct Pull {
+    sent: Time,
+    findings: Option<Vec<(ReplicaKey, FencingNumber, Duration)>>,
+}
+
 struct LateWrite {
     expected: u64,
     next: Allocation,
@@ -157,6 +174,8 @@
     vms: Vec<Vm>,
     controllers: Vec<Controller>,
     entry: EvidenceBook,
+    second: EvidenceBook,
+    pulls: Vec<Pull>,
     allocation: Allocation,
     version: u64,
     lease: Option<Lease>,
@@ -171,11 +190,7 @@
     /// A world of empty VMs, whose endpoints check fencing numbers or not.
     #[must_use]
     pub fn new(checks_fencing: bool) -> Self {
-        let files = [SourceFile {
-            name: "groups.toml".into(),
-            text: FILE.into(),
-        }];
-        let deployment = check_files(&files).expect("the world's own file is sound");
+        let deployment = fixtures::deployment(FILE);
         let home = "east".parse().expect("a sound name");
         let mut world = Self {
             now: Time::from_millis(100_000),
@@ -184,6 +199,8 @@
             vms: Vec::new(),
             controllers: Vec::new(),
             entry: EvidenceBook::new(EVIDENCE),
+            second: EvidenceBook::new(EVIDENCE),
+            pulls: Vec::new(),
             allocation: Allocation::empty(home),
             version: 0,
             lease: None,
@@ -258,6 +275,12 @@
             GroupAction::Round => self.round(),
             GroupAction::Survey(at) => self.survey(at),
             GroupAction::EntrySurvey => self.entry_survey(),
+            GroupAction::PullSend => self.pulls.push(Pull {
+                sent: self.now,
+                findings: None,
+            }),
+            GroupAction::PullServe => self.serve_pull(),
+            GroupAction::PullArrive => self.arrive_pull(),
             GroupAction::RenewLease(at) => self.renew_lease(at),
             GroupAction::Plan(at, late) => self.plan(at, late),
             GroupAction::LateWrite => self.late_write(),
@@ -293,6 +316,12 @@
     fn round(&mut self) {
         self.advance(ROUND);
         self.entry_survey();
+        self.pulls.push(Pull {
+            sent: self.now,
+            findings: None,
+        });
+        self.serve_pull();
+        self.arrive_pull();
         for at in 0..CONTROLLERS {
             self.survey(at);
             self.renew_lease(at);
@@ -387,6 +416,40 @@
         }
     }
 
+    fn key(&self, group: &Group) -> ReplicaKey {
+        ReplicaKey {
+            data_centre: self.allocation.data_centre.clone(),
+            number: group.number,
+        }
+    }
+
+    fn serve_pull(&mut self) {
+        let mut findings = Vec::new();
+        for group in &self.allocation.groups {
+            if let Ok(until) = self.entry.serving_until(self.now, group) {
+                let age = (self.now + EVIDENCE).since(until);
+                findings.push((self.key(group), group.composition, age));
+            }
+        }
+        if let Some(pull) = self.pulls.iter_mut().find(|p| p.findings.is_none()) {
+            pull.findings = Some(findings);
+        }
+    }
+
+    fn arrive_pull(&mut self) {
+        let Some(at) = self.pulls.iter().position(|p| p.findings.is_some()) else {
+            return;
+        };
+        let pull = self.pulls.swap_remove(at);
+        for (key, composition, age) in pull.findings.unwrap_or_default() {
+            let evidence = RelayedEvidence {
+                composition,
+                dated: pull.sent - age,
+            };
+            self.second.record_relayed(&key, evidence);
+        }
+    }
+
     fn renew_lease(&mut self, at: usize) {
         if !self.up {
             return;
@@ -521,7 +584,10 @@
         }
         let by_name: HashMap<&VmName, &Vm> = self.vms.iter().map(|v| (&v.record.vm, v)).collect();
         for group in &self.allocation.groups {
-            if self.entry.serving_until(self.now, group).is_err() {
+            let second = self
+                .second
+                .serving_until_shared(self.now, &self.key(group), group);
+            if self.entry.serving_until(self.now, group).is_err() && second.is_err() {
                 continue;
             }
             for (rank, member) in (0u32..).zip(&group.members) {
@@ -582,12 +648,17 @@
         self.swaps
     }
 
-    /// Returns the groups that the entry may send to.
+    /// Returns the groups that both entries may send to.
     #[must_use]
     pub fn serving(&self) -> usize {
         let groups = self.allocation.groups.iter();
-        groups
-            .filter(|g| self.entry.serving_until(self.now, g).is_ok())
-            .count()
+        let both = |g: &&Group| {
+            self.entry.serving_until(self.now, g).is_ok()
+                && self
+                    .second
+                    .serving_until_shared(self.now, &self.key(g), g)
+                    .is_ok()
+        };
+        groups.filter(both).count()
     }
 }
