Read an allocation once per lease; index what the planner looks up

Cause: worked out for docs/CAPACITY.md, a controller would read 550 KB twice a second at the target and scan the VM list once per member. Change: the holder keeps what it read or wrote last until it loses the lease or meets a conflict; leaving and listed VMs are sets.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -127,10 +127,6 @@
         })
     }
 
-    fn is_leaving(&self, vm: &VmName) -> bool {
-        self.vms.iter().any(|r| r.vm == *vm && r.leaving)
-    }
-
     fn is_serving(&self, group: &Group) -> bool {
         self.evidence.serving_until(self.now, group).is_ok()
     }
@@ -158,6 +154,8 @@
     freed: HashMap<VmName, Time>,
     quiet: HashMap<(GroupNumber, FencingNumber), Time>,
     ordered: HashMap<VmName, Time>,
+    /// VMs that the platform lists as leaving.
+    leaving: HashSet<VmName>,
 }
 
 impl Planner {
@@ -171,6 +169,7 @@
             freed: HashMap::new(),
             quiet: HashMap::new(),
             ordered: HashMap::new(),
+            leaving: HashSet::new(),
         }
     }
 
@@ -178,6 +177,12 @@
     pub fn plan(&mut self, situation: &Situation<'_>) -> Plan {
         self.note_reports(situation);
         let mut next = situation.allocation.clone();
+        self.leaving = situation
+            .vms
+            .iter()
+            .filter(|r| r.leaving)
+            .map(|r| r.vm.clone())
+            .collect();
         if next.controller != Some(self.incarnation) {
             next.controller = Some(self.incarnation);
             next.draw_fencing();
@@ -259,10 +264,11 @@
     /// Makes VMs usable once no late order can reach them any more.
     fn release_settled(&mut self, situation: &Situation<'_>, next: &mut Allocation) {
         let now = situation.now;
+        let listed: HashSet<&VmName> = situation.vms.iter().map(|r| &r.vm).collect();
         next.settling.retain(|settling| {
             let freed = *self.freed.entry(settling.vm.clone()).or_insert(now);
             let waited = now.since(freed) >= self.settings.settling;
-            let listed = situation.vms.iter().any(|r| r.vm == settling.vm);
+            let listed = listed.contains(&settling.vm);
             let empty = situation
                 .status(&settling.vm)
                 .is_some_and(|s| s.phase == VmPhase::Empty);
@@ -340,8 +346,9 @@
         let replacements = std::mem::take(&mut group.replacements);
         let (kept, dropped): (Vec<_>, Vec<_>) = replacements.into_iter().partition(|r| {
             let member = group.members.get(r.rank as usize);
-            let works = member
-                .is_some_and(|m| situation.is_loaded(&m.vm, group) && !situation.is_leaving(&m.vm));
+            let works = member.is_some_and(|m| {
+                situation.is_loaded(&m.vm, group) && !self.leaving.contains(&m.vm)
+            });
             !works && !self.is_dead(situation.now, &r.member.vm)
         });
         group.replacements = kept.into();
@@ -412,7 +419,7 @@
                 }
                 let must_go = |m: &Member| match dead_first {
                     true => self.is_dead(situation.now, &m.vm),
-                    false => situation.is_leaving(&m.vm),
+                    false => self.leaving.contains(&m.vm),
                 };
                 for rank in 0..group.members.len() {
                     let replaced = group.replacements.iter().any(|r| r.rank as usize == rank);
--- a/crates/daemon/src/controllers/placement.rs
+++ b/crates/daemon/src/controllers/placement.rs
@@ -28,6 +28,10 @@
     lease: LeaseWatch,
     planner: Planner,
     holds: bool,
+    /// The allocation as this holder of the lease read or wrote it last. Only
+    /// holders write, so it is read again only after losing the lease or a
+    /// conflict.
+    stored: Option<Stored<Allocation>>,
 }
 
 pub(super) async fn run(node: Arc<Node>) {
@@ -44,9 +48,12 @@
                     lease: LeaseWatch::new(LeaseSettings::default(), node.id, node.incarnation),
                     planner: Planner::new(PlacementSettings::default(), node.incarnation),
                     holds: false,
+                    stored: None,
                 });
             // A failed pass is repeated in the next period.
-            let _ = pass(&node, &data_centre, rank, control).await;
+            if pass(&node, &data_centre, rank, control).await.is_err() {
+                control.stored = None;
+            }
         }
     }
 }
@@ -81,6 +88,7 @@
         info!(node.log, "controller lease"; "data_centre" => %data_centre, "held" => holds);
     }
     if !holds {
+        control.stored = None;
         return Ok(());
     }
     node.metrics.on_platform_call(PlatformCall::VmList);
@@ -91,8 +99,13 @@
         .collect();
     probe_controlled(node, &vms).await;
     let key = ObjectKey::allocation(data_centre);
-    node.metrics.on_platform_call(PlatformCall::Read);
-    let mut stored = node.store.read::<Allocation>(&key).await?;
+    let mut stored = match control.stored.take() {
+        Some(stored) => Some(stored),
+        None => {
+            node.metrics.on_platform_call(PlatformCall::Read);
+            node.store.read::<Allocation>(&key).await?
+        }
+    };
     for _ in 0..WRITES_PER_PASS {
         let empty = Allocation::empty(data_centre.clone());
         let allocation = stored.as_ref().map_or(&empty, |s| &s.stamped.body);
@@ -104,10 +117,11 @@
             Plan::Write(next) => stored = Some(write(node, &key, stored.as_ref(), *next).await?),
             Plan::Orders(orders) => {
                 give_orders(node, control, orders).await;
-                return Ok(());
+                break;
             }
         }
     }
+    control.stored = stored;
     Ok(())
 }
 
