--- /dev/null
+++ b/crates/core/src/placement/situation.rs
@@ -0,0 +1,44 @@
+//! What a pass of the planner looks at.
+
+use crate::allocation::{Allocation, Group};
+use crate::deployment::Deployment;
+use crate::evidence::EvidenceBook;
+use crate::ids::VmName;
+use crate::time::Time;
+use crate::vm::{VmPhase, VmRecord, VmStatus};
+
+/// Everything that a pass of the planner looks at.
+#[derive(Clone, Copy)]
+pub struct Situation<'a> {
+    /// Time of the pass.
+    pub now: Time,
+    /// Declared deployment.
+    pub deployment: &'a Deployment,
+    /// The platform's VM list, of which the planner takes its data centre's.
+    pub vms: &'a [VmRecord],
+    /// Reports of the endpoints.
+    pub evidence: &'a EvidenceBook,
+    /// Stored allocation.
+    pub allocation: &'a Allocation,
+}
+
+impl Situation<'_> {
+    pub(super) fn status(&self, vm: &VmName) -> Option<&VmStatus> {
+        self.evidence.fresh(self.now, vm)
+    }
+
+    pub(super) fn is_loaded(&self, vm: &VmName, group: &Group) -> bool {
+        self.status(vm).is_some_and(|s| {
+            matches!(s.phase, VmPhase::Preloaded | VmPhase::Ready) && has_weights(s, group)
+        })
+    }
+
+    pub(super) fn is_serving(&self, group: &Group) -> bool {
+        self.evidence.serving_until(self.now, group).is_ok()
+    }
+}
+
+pub(super) fn has_weights(status: &VmStatus, group: &Group) -> bool {
+    status.workload.as_ref() == Some(&group.workload)
+        && status.version.as_ref() == Some(&group.version)
+}
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -4,18 +4,21 @@
 //! member was up and reported the group's composition at most the evidence
 //! bound ago; and once faults end, every declared replica serves again.
 
+mod actions;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    Allocation, Deployment, EvidenceBook, FencingNumber, Group, Incarnation, Lease, LeaseSettings,
-    LeaseStep, LeaseWatch, Member, MemberId, Order, OrderKind, PlacementSettings, Plan, Planner,
-    RelayedEvidence, ReplicaKey, Situation, Time, VmName, VmPhase, VmRecord, VmStatus,
+    Allocation, Deployment, EvidenceBook, Fencing, FencingNumber, Group, Incarnation, Lease,
+    LeaseSettings, LeaseStep, LeaseWatch, Member, MemberId, Order, PlacementSettings, Plan,
+    Planner, RelayedEvidence, ReplicaKey, Situation, Time, VmName, VmPhase, VmRecord, VmStatus,
 };
-use proptest::collection::vec;
-use proptest::prelude::{Strategy, any, prop_oneof};
 use proptest::sample::Index;
 
+pub use actions::{GroupAction, group_actions};
+
+use crate::endpoint::{Obeyed, obey, restart};
 use crate::fixtures;
 
 /// Time for which a report counts.
@@ -52,79 +55,6 @@
 east = 4
 "#;
 
-/// One step of the world.
-#[derive(Clone, Debug)]
-pub enum GroupAction {
-    /// Time passes, in milliseconds.
-    Advance(u64),
-    /// Half a second passes in which everybody does what is regular.
-    Round,
-    /// A controller probes every VM that it reaches.
-    Survey(usize),
-    /// The entry probes every VM.
-    EntrySurvey,
-    /// A second entry, which probes nothing, asks the first for its findings.
-    PullSend,
-    /// The first entry answers.
-    PullServe,
-    /// The answer arrives.
-    PullArrive,
-    /// A controller takes or renews its lease.
-    RenewLease(usize),
-    /// A controller plans; its write or orders leave at once or later.
-    Plan(usize, bool),
-    /// A delayed write reaches the platform.
-    LateWrite,
-    /// A delayed order reaches its endpoint.
-    LateOrder(Index),
-    /// A VM dies and loses everything.
-    Die(Index),
-    /// A dead or frozen VM works again.
-    Return(Index),
-    /// A VM stops answering but keeps everything.
-    Freeze(Index),
-    /// The platform lists a VM as leaving, or no longer.
-    Leaving(Index, bool),
-    /// A whole fabric domain goes dark.
-    Dark(usize),
-    /// A controller loses the endpoints, or reaches them again.
-    Partition(usize, bool),
-    /// The platform goes down or comes back.
-    Platform(bool),
-    /// A controller is replaced by one with empty memory.
-    Replace(usize),
-}
-
-/// Draws a run of the world.
-pub fn group_actions() -> impl Strategy<Value = Vec<GroupAction>> {
-    let index = || any::<Index>();
-    let controller = || 0..CONTROLLERS;
-    let action = prop_oneof![
-        10 => (50_u64..1_500).prop_map(GroupAction::Advance),
-        60 => proptest::prelude::Just(GroupAction::Round),
-        10 => controller().prop_map(GroupAction::Survey),
-        8 => proptest::prelude::Just(GroupAction::EntrySurvey),
-        4 => proptest::prelude::Just(GroupAction::PullSend),
-        4 => proptest::prelude::Just(GroupAction::PullServe),
-        4 => proptest::prelude::Just(GroupAction::PullArrive),
-        6 => controller().prop_map(GroupAction::RenewLease),
-        14 => (controller(), proptest::bool::weighted(0.2))
-            .prop_map(|(c, late)| GroupAction::Plan(c, late)),
-        12 => proptest::prelude::Just(GroupAction::LateWrite),
-        12 => index().prop_map(GroupAction::LateOrder),
-        6 => index().prop_map(GroupAction::Die),
-        5 => index().prop_map(GroupAction::Return),
-        1 => index().prop_map(GroupAction::Freeze),
-        1 => (index(), any::<bool>()).prop_map(|(i, l)| GroupAction::Leaving(i, l)),
-        1 => (0..DOMAINS).prop_map(GroupAction::Dark),
-        1 => (controller(), proptest::bool::weighted(0.3))
-            .prop_map(|(c, p)| GroupAction::Partition(c, p)),
-        1 => proptest::bool::weighted(0.8).prop_map(GroupAction::Platform),
-        1 => controller().prop_map(GroupAction::Replace),
-    ];
-    vec(action, 20..400)
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Power {
     Up,
@@ -169,7 +99,7 @@
 /// The world and its ledger.
 pub struct GroupWorld {
     now: Time,
-    checks_fencing: bool,
+    fencing: Fencing,
     deployment: Deployment,
     vms: Vec<Vm>,
     controllers: Vec<Controller>,
@@ -189,12 +119,12 @@
 impl GroupWorld {
     /// A world of empty VMs, whose endpoints check fencing numbers or not.
     #[must_use]
-    pub fn new(checks_fencing: bool) -> Self {
+    pub fn new(fencing: Fencing) -> Self {
         let deployment = fixtures::deployment(FILE);
         let home = "east".parse().expect("a sound name");
         let mut world = Self {
             now: Time::from_millis(100_000),
-            checks_fencing,
+            fencing,
             deployment,
             vms: Vec::new(),
             controllers: Vec::new(),
@@ -348,16 +278,7 @@
     fn die(&mut self, at: usize) {
         let vm = &mut self.vms[at];
         vm.power = Power::Dead;
-        let fresh = VmStatus {
-            epoch: vm.status.epoch + 1,
-            phase: VmPhase::Empty,
-            group: None,
-            fencing: FencingNumber::new(0),
-            workload: None,
-            version: None,
-            ..vm.status.clone()
-        };
-        vm.status = fresh;
+        restart(&mut vm.status);
     }
 
     fn place(&self, vm: &VmName) -> usize {
@@ -534,47 +455,11 @@
     }
 
     fn obey(&mut self, member: &Member, order: &Order) {
-        let (now, checks) = (self.now, self.checks_fencing);
         let Some(vm) = self.vms.iter_mut().find(|v| v.record.vm == member.vm) else {
             return;
         };
-        let out_of_date = order.fencing < vm.status.fencing;
-        if vm.power != Power::Up || (checks && out_of_date) {
-            return;
-        }
-        vm.status.fencing = vm.status.fencing.max(order.fencing);
-        match &order.kind {
-            OrderKind::Load {
-                workload,
-                version,
-                rank,
-            } => {
-                vm.status.phase = VmPhase::Loading;
-                vm.status.workload = Some(workload.clone());
-                vm.status.version = Some(version.clone());
-                vm.status.rank = *rank;
-                vm.status.group = None;
-                vm.loaded_at = now;
-            }
-            OrderKind::Join {
-                group,
-                composition,
-                rank,
-                ..
-            } => {
-                if matches!(vm.status.phase, VmPhase::Preloaded | VmPhase::Ready) {
-                    vm.status.phase = VmPhase::Ready;
-                    vm.status.group = Some(*group);
-                    vm.status.composition = *composition;
-                    vm.status.rank = *rank;
-                }
-            }
-            OrderKind::Release => {
-                vm.status.phase = VmPhase::Empty;
-                vm.status.group = None;
-                vm.status.workload = None;
-                vm.status.version = None;
-            }
+        if vm.power == Power::Up && obey(&mut vm.status, order, self.fencing) == Obeyed::Loading {
+            vm.loaded_at = self.now;
         }
     }
 
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod cold;
 mod config;
+mod endpoint;
 pub mod fixtures;
 mod groups;
 mod poison;
@@ -15,6 +16,7 @@
 
 pub use cold::{ColdAction, ColdWorld, cold_actions};
 pub use config::{ConfigAction, ConfigWorld, config_actions};
+pub use endpoint::{Obeyed, obey, restart};
 pub use groups::{GroupAction, GroupWorld, group_actions};
 pub use poison::{PoisonAction, PoisonWorld, poison_actions};
 pub use tickets::{RunEnd, TicketAction, TicketWorld, ticket_actions};
--- a/crates/oracle/tests/recovery.rs
+++ b/crates/oracle/tests/recovery.rs
@@ -1,5 +1,6 @@
 //! Time that groups are down after a fault, in virtual time.
 
+use bulrushhoist_core::Fencing;
 use bulrushhoist_oracle::{GroupAction, GroupWorld};
 
 /// Rounds of half a second.
@@ -24,7 +25,7 @@
 }
 
 fn whole_world() -> GroupWorld {
-    let mut world = GroupWorld::new(true);
+    let mut world = GroupWorld::new(Fencing::Checked);
     rounds_until_whole(&mut world, 40);
     world
 }
--- a/crates/oracle/tests/worlds.rs
+++ b/crates/oracle/tests/worlds.rs
@@ -1,5 +1,6 @@
 //! Fuzz runs of the small worlds against their ledgers.
 
+use bulrushhoist_core::Fencing;
 use bulrushhoist_oracle::{
     ColdWorld, ConfigWorld, GroupWorld, PoisonWorld, TicketWorld, cold_actions, config_actions,
     fuzz_config, group_actions, poison_actions, ticket_actions,
@@ -33,7 +34,7 @@
     #![proptest_config(fuzz_config(GROUPS_SEED))]
     #[test]
     fn no_group_serves_with_a_member_missing_and_all_recover(actions in group_actions()) {
-        let mut world = GroupWorld::new(true);
+        let mut world = GroupWorld::new(Fencing::Checked);
         for action in &actions {
             world.step(action).map_err(fail)?;
         }
@@ -42,7 +43,7 @@
 
     #[test]
     fn the_same_holds_where_endpoints_ignore_fencing(actions in group_actions()) {
-        let mut world = GroupWorld::new(false);
+        let mut world = GroupWorld::new(Fencing::Ignored);
         for action in &actions {
             world.step(action).map_err(fail)?;
         }
@@ -60,7 +61,7 @@
             .new_tree(&mut runner)
             .expect("a run is drawn")
             .current();
-        let mut world = GroupWorld::new(true);
+        let mut world = GroupWorld::new(Fencing::Checked);
         let mut serving = 0;
         for action in &actions {
             world.step(action).expect("the oracle holds");
--- a/crates/standin/src/endpoint/model.rs
+++ b/crates/standin/src/endpoint/model.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhoist_core::stable_hash;
+use bulrushhoist_core::{Fencing, stable_hash};
 
 /// Parts of an answer whose request names no number.
 const DEFAULT_PARTS: u64 = 16;
@@ -31,7 +31,7 @@
     /// Time that a crashed endpoint is away.
     pub restart: Duration,
     /// Whether orders with old fencing numbers are refused.
-    pub checks_fencing: bool,
+    pub fencing: Fencing,
     /// Whether each endpoint stands behind a relay, which network faults need.
     pub relays: bool,
 }
@@ -48,7 +48,7 @@
             ramp: 8,
             fall_over: 2,
             restart: Duration::from_secs(1),
-            checks_fencing: true,
+            fencing: Fencing::Checked,
             relays: false,
         }
     }
--- a/crates/standin/src/endpoint/vm.rs
+++ b/crates/standin/src/endpoint/vm.rs
@@ -5,10 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use bulrushhoist_core::{
-    Answer, FencingNumber, Order, OrderKind, RequestId, VmPhase, VmRecord, VmStatus,
-};
+use bulrushhoist_core::{Answer, FencingNumber, Order, RequestId, VmPhase, VmRecord, VmStatus};
 use bulrushhoist_engine::OrderReply;
+use bulrushhoist_oracle::{Obeyed, obey, restart};
 use bytes::Bytes;
 use tokio::sync::watch;
 
@@ -122,13 +121,7 @@
     /// Loses everything, as a process does that ends and starts again.
     pub(super) fn crash(&self) {
         let mut inner = self.inner();
-        inner.status.epoch += 1;
-        inner.status.phase = VmPhase::Empty;
-        inner.status.group = None;
-        inner.status.workload = None;
-        inner.status.version = None;
-        inner.status.served = 0;
-        inner.status.fencing = FencingNumber::new(0);
+        restart(&mut inner.status);
         inner.streams.clear();
         inner.calls.clear();
         let epoch = inner.status.epoch;
@@ -144,44 +137,12 @@
 
     pub(super) fn order(self: &Arc<Self>, order: &Order) -> OrderReply {
         let mut inner = self.inner();
-        let highest = inner.status.fencing;
-        if self.settings.checks_fencing && order.fencing < highest {
-            return OrderReply::Fenced { highest };
-        }
-        inner.status.fencing = highest.max(order.fencing);
-        match &order.kind {
-            OrderKind::Load {
-                workload,
-                version,
-                rank,
-            } => {
-                inner.status.phase = VmPhase::Loading;
-                inner.status.workload = Some(workload.clone());
-                inner.status.version = Some(version.clone());
-                inner.status.rank = *rank;
-                inner.status.group = None;
-                inner.status.served = 0;
+        match obey(&mut inner.status, order, self.settings.fencing) {
+            Obeyed::Refused(highest) => return OrderReply::Fenced { highest },
+            Obeyed::Loading => {
                 tokio::spawn(Arc::clone(self).finish_load(inner.status.epoch));
             }
-            OrderKind::Join {
-                group,
-                composition,
-                rank,
-                ..
-            } => {
-                if matches!(inner.status.phase, VmPhase::Preloaded | VmPhase::Ready) {
-                    inner.status.phase = VmPhase::Ready;
-                    inner.status.group = Some(*group);
-                    inner.status.rank = *rank;
-                    inner.status.composition = *composition;
-                }
-            }
-            OrderKind::Release => {
-                inner.status.phase = VmPhase::Empty;
-                inner.status.group = None;
-                inner.status.workload = None;
-                inner.status.version = None;
-            }
+            Obeyed::Done => {}
         }
         OrderReply::Accepted
     }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bulrushhoist_cli::read_directory;
+use bulrushhoist_core::Fencing;
 use bulrushhoist_standin::{
     Farm, FarmLayout, FarmSettings, Local, LocalSettings, PlatformStandin, serve_control,
 };
@@ -79,7 +80,7 @@
             }
             Arg::Long("domains") => options.domains = parser.value()?.parse()?,
             Arg::Long("vms") => options.vms = parser.value()?.parse()?,
-            Arg::Long("ignore-fencing") => options.farm.checks_fencing = false,
+            Arg::Long("ignore-fencing") => options.farm.fencing = Fencing::Ignored,
             Arg::Long("call-ms") => {
                 options.farm.call = Duration::from_millis(parser.value()?.parse()?);
             }
