Let callers go on while a test waits for a daemon's end

Cause: the whole-process tests waited for a process on the only thread of their runtime, so callers stood still during each planned stop and the rolling replacement was hardly under load. Change: several threads.

--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -157,7 +157,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn serves_a_streamed_completion_and_runs_a_deposit_once() {
     let deployment = Deployment::start(2).await;
     let (first, second) = (deployment.daemons[0].caller, deployment.daemons[1].caller);
@@ -211,7 +211,7 @@
     assert_eq!(deployment.executions("cup-19").await, 0);
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_stops_seals_its_tickets_and_one_that_is_killed_leaves_them_unknown() {
     let mut deployment = Deployment::start(3).await;
     let entries: Vec<SocketAddr> = deployment.daemons.iter().map(|d| d.caller).collect();
@@ -253,13 +253,13 @@
     assert_eq!(deployment.executions("a3").await, 0);
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_replacement_of_every_daemon_cuts_off_no_request() {
     replace_every_daemon(3).await;
 }
 
 /// As many daemons as a deployment has; see KNOWN-RED.txt.
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_replacement_of_seven_daemons_refuses_no_request() {
     replace_every_daemon(7).await;
 }
@@ -353,7 +353,7 @@
     panic!("no daemon tells entries")
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_was_paused_takes_no_work_on_its_old_view() {
     let deployment = Deployment::start(3).await;
     let paused = &deployment.daemons[0];
