Name the likely cause of the refusals with seven fresh daemons

The failing callers' lists held all of the first seven entries, so the steering is right; the entries themselves took their places for taken. The test now says which entries its caller knew.

--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -326,7 +326,10 @@
         let response = response.expect("a told entry takes connections");
         let status = response.status();
         let text = response.text().await.expect("the stream is not cut off");
-        assert_eq!(status, 200, "caller {caller} at {entry}: {text}");
+        assert_eq!(
+            status, 200,
+            "caller {caller} at {entry} of {known:?}: {text}"
+        );
         assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
         answered += 1;
     }
