Forward tickets to the registered address of their owner

Cause: forwarding checked that a ticket's incarnation is registered, but then contacted the address in the ticket's text, which its MAC does not cover. A caller could send an entry, with the caller's token, to any address, against what docs/SECURITY.md says. Ruled out: resumed streams, which check the address against the groups. Change: the register's address is used; what goes along to another entry is put together in one place for tickets and completions.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -4,7 +4,7 @@
 
 use bulrushhoist_core::{Answer, Incarnation, ObjectKey, Reason, Refusal, Seal, Ticket};
 use bytes::Bytes;
-use reqwest::Method;
+use reqwest::{Method, RequestBuilder};
 use salvo::Request;
 use salvo::http::HeaderMap;
 
@@ -24,6 +24,27 @@
     pub(super) body: bytes::Bytes,
 }
 
+/// Prepares a request to another entry with what goes along of the caller's.
+fn entry_call(
+    node: &Node,
+    entry: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &HeaderMap,
+) -> RequestBuilder {
+    let url = format!("http://{entry}{path}");
+    let mut call = node
+        .forwarder
+        .request(method, url)
+        .header(FORWARDED_HEADER, node.id.to_string());
+    for name in KEPT_HEADERS {
+        if let Some(value) = headers.get(name) {
+            call = call.header(name, value.as_bytes());
+        }
+    }
+    call
+}
+
 /// Passes a completion on to another entry and returns its answer, whose body
 /// may still be on its way.
 pub(super) async fn pass_on(
@@ -33,17 +54,17 @@
     body: Bytes,
 ) -> Result<reqwest::Response, reqwest::Error> {
     let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
-    let mut call = node
-        .forwarder
-        .post(format!("http://{entry}{path}"))
-        .header(FORWARDED_HEADER, node.id.to_string())
-        .body(body);
-    for name in KEPT_HEADERS {
-        if let Some(value) = req.headers().get(name) {
-            call = call.header(name, value.as_bytes());
-        }
-    }
-    call.send().await
+    let call = entry_call(node, entry, Method::POST, path, req.headers());
+    call.body(body).send().await
+}
+
+/// Returns the registered address of a ticket's owner. The address that the
+/// ticket names is not used: a caller can change it.
+fn owner_address(node: &Node, ticket: &Ticket) -> Option<SocketAddr> {
+    let view = node.view();
+    let mut daemons = view.register.daemons.iter();
+    let owner = daemons.find(|d| d.incarnation == ticket.incarnation)?;
+    Some(owner.caller)
 }
 
 /// Sends a request to the ticket's owner and returns the owner's answer.
@@ -52,31 +73,15 @@
     ticket: &Ticket,
     request: Forwarded<'_>,
 ) -> Result<Answer, Refusal> {
-    // Only daemons are contacted on a caller's word.
-    let known = node
-        .view()
-        .register
-        .daemons
-        .iter()
-        .any(|d| d.incarnation == ticket.incarnation);
-    if !known {
+    let Some(owner) = owner_address(node, ticket) else {
         return Err(settle(node, ticket.incarnation, ticket.sequence).await);
-    }
+    };
     let unreachable = |_| Refusal::unknown(Reason::OwnerUnreachable);
     let method = Method::from_bytes(request.method.as_bytes())
         .map_err(|_| Refusal::unknown(Reason::BadRequest))?;
-    let url = format!("http://{}{}", ticket.owner, request.path);
-    let mut call = node
-        .forwarder
-        .request(method, url)
-        .header(FORWARDED_HEADER, node.id.to_string())
+    let call = entry_call(node, owner, method, request.path, request.headers)
         .header(TICKET_HEADER, ticket.to_string())
         .body(request.body);
-    for name in KEPT_HEADERS {
-        if let Some(value) = request.headers.get(name) {
-            call = call.header(name, value.as_bytes());
-        }
-    }
     let response = call.send().await.map_err(unreachable)?;
     let named = response.headers().contains_key(REQUEST_ID_HEADER);
     if !named {
--- a/crates/standin/tests/faults/endpoints.rs
+++ b/crates/standin/tests/faults/endpoints.rs
@@ -267,3 +267,27 @@
     }
     assert_eq!(epochs(&world), 0, "an endpoint fell over");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_with_a_changed_owner_does_not_lead_an_entry_elsewhere() {
+    let world = World::start(2, FarmSettings::default()).await;
+    let ticket = world.ticket(0).await;
+    let stranger = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = stranger
+        .local_addr()
+        .expect("a bound listener has an address");
+    let changed = ticket.replace(&world.entry(0).to_string(), &address.to_string());
+    assert_ne!(changed, ticket);
+    let body = r#"{"deposit":"stranger"}"#;
+    let call = world.call(1, "/deposits", Some(&changed), body);
+    let led_astray = tokio::select! {
+        _ = stranger.accept() => true,
+        _ = call => false,
+    };
+    assert!(
+        !led_astray,
+        "the entry contacted an address on a caller's word"
+    );
+}
