--- a/crates/core/src/vm.rs
+++ b/crates/core/src/vm.rs
@@ -85,3 +85,23 @@
     /// Requests finished since the endpoint last became cold.
     pub served: u64,
 }
+
+impl VmStatus {
+    /// The report of a process that has just started.
+    #[must_use]
+    pub const fn started(vm: VmName) -> Self {
+        Self {
+            vm,
+            epoch: 1,
+            phase: VmPhase::Empty,
+            group: None,
+            fencing: FencingNumber::new(0),
+            composition: FencingNumber::new(0),
+            rank: 0,
+            workload: None,
+            version: None,
+            running: 0,
+            served: 0,
+        }
+    }
+}
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -163,19 +163,7 @@
                 .expect("a sound name"),
             leaving: false,
         };
-        let status = VmStatus {
-            vm: name,
-            epoch: 1,
-            phase: VmPhase::Empty,
-            group: None,
-            fencing: FencingNumber::new(0),
-            composition: FencingNumber::new(0),
-            rank: 0,
-            workload: None,
-            version: None,
-            running: 0,
-            served: 0,
-        };
+        let status = VmStatus::started(name);
         Vm {
             record,
             status,
--- a/crates/standin/src/endpoint/vm.rs
+++ b/crates/standin/src/endpoint/vm.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use bulrushhoist_core::{Answer, FencingNumber, Order, RequestId, VmPhase, VmRecord, VmStatus};
+use bulrushhoist_core::{Answer, Order, RequestId, VmPhase, VmRecord, VmStatus};
 use bulrushhoist_engine::OrderReply;
 use bulrushhoist_oracle::{Obeyed, obey, restart};
 use bytes::Bytes;
@@ -65,19 +65,7 @@
 
 impl Vm {
     pub(super) fn new(record: VmRecord, settings: FarmSettings, ledger: Arc<Ledger>) -> Arc<Self> {
-        let status = VmStatus {
-            vm: record.vm.clone(),
-            epoch: 1,
-            phase: VmPhase::Empty,
-            group: None,
-            fencing: FencingNumber::new(0),
-            composition: FencingNumber::new(0),
-            rank: 0,
-            workload: None,
-            version: None,
-            running: 0,
-            served: 0,
-        };
+        let status = VmStatus::started(record.vm.clone());
         let inner = Inner {
             status,
             streams: HashMap::new(),
