Use a share only once the others have stated theirs

A newcomer bounded itself by what the endpoint reported as running for 30 s. Two newcomers that read the same free place both took it: 4 requests ran on an endpoint that carries 3.

Ruled out: subtracting one's own requests, which mends the second fault only; dividing the free places by rank, which fails when a settled entry below its share grows into it. The log of seven daemons showed the first entry active 2.9 s before the others.

Change: entries state, with their answers to PullReports, the register by which they divide limits and the replicas at which they have more in flight than their share. A new entry uses a replica once every other registered entry has stated that it keeps to its share there, by a register that holds the new entry; it asks every 100 ms. A completion at an entry without places goes to another with a chance in proportion to places, and waits while none is known. A configuration that fails its check no longer holds back the register.

An entry that vanished silently holds a new one back for 30 s, during which it passes requests on.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! quarantine. The daemon reports what happens and carries out the returned
 //! [`Event`]s; it decides nothing itself.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use rand::SeedableRng as _;
@@ -235,6 +235,20 @@
         ranked.map(move |(rank, id)| (id, share_of(total, rank, count)))
     }
 
+    /// Returns the replicas at which more of this entry's requests are in flight
+    /// than its share.
+    #[must_use]
+    pub fn beyond_share(&self) -> BTreeSet<ReplicaKey> {
+        let mut in_flight: HashMap<&ReplicaKey, u32> = HashMap::new();
+        for running in self.running.values() {
+            *in_flight.entry(&running.replica).or_default() += 1;
+        }
+        let beyond = in_flight
+            .into_iter()
+            .filter(|(key, count)| *count > self.router.share(key));
+        beyond.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Returns the router, to feed reports into.
     pub fn router_mut(&mut self) -> &mut Router {
         &mut self.router
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod lease;
 mod limit;
 mod membership;
+mod newcomer;
 mod objects;
 mod placement;
 mod quarantine;
@@ -50,6 +51,7 @@
 pub use lease::{LeaseSettings, LeaseStep, LeaseWatch};
 pub use limit::{LimitSettings, ReplicaLimit, share_of};
 pub use membership::{MemberNews, MemberState, Membership, MembershipSettings, ProbeTarget};
+pub use newcomer::{Newcomer, ShareStatement};
 pub use objects::{ObjectKey, SharedBody, Stamped};
 pub use placement::{Order, OrderKind, PlacementSettings, Plan, Planner, Situation};
 pub use quarantine::{Quarantine, QuarantineSettings, QuarantineVerdict};
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -6,7 +6,7 @@
 //! for the request's prompt prefix, and a few at random. The cheapest wins, in
 //! estimated seconds to the first token. See `docs/decisions/0005-routing.md`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -58,17 +58,28 @@
 }
 
 /// How far the other entries have made room for this one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// They may not know of this entry: it uses no replica.
+    /// Some may not know of this entry: it uses no replica.
     Joining,
-    /// They know since then, but may have requests in flight beyond their new
-    /// shares: what endpoints report as running counts against this entry.
-    Newcomer(Time),
-    /// Their requests from before have ended.
+    /// All know, but some have requests in flight beyond their new shares at
+    /// these replicas, which this entry does not use yet.
+    Newcomer(BTreeSet<ReplicaKey>),
+    /// All keep to their shares.
     Settled,
 }
 
+impl Standing {
+    /// Whether an entry of this standing may use a replica.
+    fn admits(&self, key: &ReplicaKey) -> bool {
+        match self {
+            Self::Joining => false,
+            Self::Newcomer(crowded) => !crowded.contains(key),
+            Self::Settled => true,
+        }
+    }
+}
+
 /// What the router has to know of a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct ReplicaSpec {
@@ -99,24 +110,23 @@
     spec: ReplicaSpec,
     limit: ReplicaLimit,
     in_flight: u32,
-    reported: Option<u32>,
+    reported: u32,
     reported_at: Time,
     serving_until: Time,
     slot: Option<usize>,
 }
 
 impl Replica {
+    /// Requests that this entry may have in flight here once it is settled.
+    fn share(&self) -> u32 {
+        share_of(self.limit.total(), self.spec.rank, self.spec.entries)
+    }
+
     /// Requests that this entry may have in flight here.
-    ///
-    /// A newcomer also counts what the endpoint reported as running, itself
-    /// included, since it may know of no better bound for the others.
-    fn allowance(&self, standing: Standing) -> u32 {
-        let total = self.limit.total();
-        let share = share_of(total, self.spec.rank, self.spec.entries);
-        match (standing, self.reported) {
-            (Standing::Settled, _) => share,
-            (Standing::Newcomer(_), Some(running)) => share.min(total.saturating_sub(running)),
-            (Standing::Newcomer(_), None) | (Standing::Joining, _) => 0,
+    fn allowance(&self, standing: &Standing) -> u32 {
+        match standing.admits(&self.spec.key) {
+            true => self.share(),
+            false => 0,
         }
     }
 
@@ -124,7 +134,7 @@
         self.spec.in_service && now < self.serving_until
     }
 
-    fn has_room(&self, standing: Standing) -> bool {
+    fn has_room(&self, standing: &Standing) -> bool {
         self.spec.in_service && self.in_flight < self.allowance(standing)
     }
 
@@ -133,8 +143,7 @@
         let target = self.spec.limits.target.as_secs_f64();
         let base = self.limit.latency_s().unwrap_or(target / 4.0);
         let saved = if cached { PREFIX_SAVING } else { 0.0 };
-        let share = share_of(self.limit.total(), self.spec.rank, self.spec.entries);
-        let load = f64::from(self.in_flight + 1) / f64::from(share.max(1));
+        let load = f64::from(self.in_flight + 1) / f64::from(self.share().max(1));
         base * (1.0 - saved + load) + 2.0 * self.spec.one_way_delay.as_secs_f64()
     }
 }
@@ -201,7 +210,7 @@
                 other => Replica {
                     limit: ReplicaLimit::new(spec.limits),
                     in_flight: other.map_or(0, |o| o.in_flight),
-                    reported: None,
+                    reported: 0,
                     reported_at: Time::ZERO,
                     serving_until: Time::ZERO,
                     slot: None,
@@ -239,14 +248,7 @@
         }
         replica.reported_at = sent;
         replica.limit.on_report(report.epoch, report.served);
-        let counts = match self.standing {
-            Standing::Joining => false,
-            Standing::Newcomer(since) => sent >= since,
-            Standing::Settled => true,
-        };
-        if counts {
-            replica.reported = Some(report.running);
-        }
+        replica.reported = report.running;
         self.refresh(key);
     }
 
@@ -300,12 +302,18 @@
         self.replicas.get(key).map(|r| r.limit.total())
     }
 
+    /// Returns this entry's share of a replica, and 0 for one that it has no
+    /// share of.
+    pub(crate) fn share(&self, key: &ReplicaKey) -> u32 {
+        self.replicas.get(key).map_or(0, Replica::share)
+    }
+
     /// Returns what this entry may have in flight at a replica.
     #[must_use]
     pub fn allowance(&self, key: &ReplicaKey) -> u32 {
         self.replicas
             .get(key)
-            .map_or(0, |r| r.allowance(self.standing))
+            .map_or(0, |r| r.allowance(&self.standing))
     }
 
     /// Returns whether a replica is in service and has fresh evidence.
@@ -321,7 +329,7 @@
         self.replicas
             .values()
             .filter(serving)
-            .map(|r| r.allowance(self.standing))
+            .map(|r| r.allowance(&self.standing))
             .sum()
     }
 
@@ -401,7 +409,7 @@
         };
         match self.policy {
             RouterPolicy::Affinity => replica.cost(cached),
-            RouterPolicy::LaggingReport => f64::from(replica.reported.unwrap_or(0)),
+            RouterPolicy::LaggingReport => f64::from(replica.reported),
             RouterPolicy::Random => rng.random(),
         }
     }
@@ -410,7 +418,7 @@
         let Some(replica) = self.replicas.get(key) else {
             return false;
         };
-        replica.is_serving(now) && replica.has_room(self.standing)
+        replica.is_serving(now) && replica.has_room(&self.standing)
     }
 
     /// Puts a replica on or off its list of replicas with room.
@@ -418,7 +426,7 @@
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
-        let room = replica.has_room(self.standing);
+        let room = replica.has_room(&self.standing);
         if room == replica.slot.is_some() {
             return;
         }
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bulrushhoist_core::{NewRequest, Reason, Refusal, RequestId, WorkloadKind, stable_hash};
 use bulrushhoist_engine::StreamEvent;
@@ -15,7 +16,7 @@
 use serde_json::value::RawValue;
 use smallvec::SmallVec;
 
-use super::entries::best_entry;
+use super::entries::choose_entry;
 use super::filters::{Caller, body, caller, take_count};
 use super::fingerprint;
 use super::forward::{FORWARDED_HEADER, pass_on};
@@ -25,6 +26,8 @@
 
 /// Bytes of the prompt's start by which cached prefixes are found.
 const PREFIX_BYTES: usize = 256;
+/// Time between two looks for an entry that has a place.
+const PLACE_CHECK: Duration = Duration::from_millis(50);
 
 /// The parts of a completion's body that the daemon reads.
 #[derive(Deserialize)]
@@ -97,22 +100,46 @@
     }
 }
 
+/// Where a completion runs.
+enum Placement {
+    /// Here; this is the first event of its answer.
+    Here(StreamEvent),
+    /// At this entry, which has places at the model's replicas.
+    Entry(SocketAddr),
+}
+
 impl Completions {
-    /// Lets an entry that has places at the model's replicas answer.
+    /// Starts a completion here, or finds another entry for it. While no entry
+    /// is known to have a place, as just after a start, it waits for one.
+    async fn place(&self, run: &mut CompletionRun) -> Result<Placement, Refusal> {
+        let no_share = Refusal::not_run(Reason::NoShare);
+        loop {
+            match run.next_event().await {
+                Ok(first) => return Ok(Placement::Here(first)),
+                Err(refusal) if refusal == no_share => {}
+                Err(refusal) => return Err(refusal),
+            }
+            let request = run.request();
+            if let Some(entry) = choose_entry(&self.node, &request.workload) {
+                return Ok(Placement::Entry(entry));
+            }
+            if self.node.now() >= request.deadline {
+                return Err(no_share);
+            }
+            tokio::time::sleep(PLACE_CHECK).await;
+        }
+    }
+
+    /// Lets another entry answer.
     async fn forward(
         &self,
+        target: SocketAddr,
         req: &Request,
         depot: &mut Depot,
         res: &mut Response,
         id: RequestId,
         body: Bytes,
     ) {
-        let refusal = Refusal::not_run(Reason::NoShare);
-        let model = serde_json::from_slice::<CompletionBody<'_>>(&body).map(|b| b.model);
-        let target = model.ok().and_then(|model| best_entry(&self.node, &model));
-        let Some(target) = target else {
-            return refuse(&self.node, res, Some(id), refusal);
-        };
         self.node.note(id, format!("passed on to {target}"));
         let Ok(answer) = pass_on(&self.node, target, req, body).await else {
             let unknown = Refusal::unknown(Reason::OwnerUnreachable);
@@ -161,10 +188,10 @@
             Ok(prepared) => prepared,
             Err(refusal) => return refuse(&self.node, res, Some(id), refusal),
         };
-        let first = match run.next_event().await {
-            Ok(first) => first,
-            Err(refusal) if refusal == Refusal::not_run(Reason::NoShare) => {
-                return self.forward(req, depot, res, id, body).await;
+        let first = match self.place(&mut run).await {
+            Ok(Placement::Here(first)) => first,
+            Ok(Placement::Entry(entry)) => {
+                return self.forward(entry, req, depot, res, id, body).await;
             }
             Err(refusal) => return refuse(&self.node, res, Some(id), refusal),
         };
--- a/crates/daemon/src/callers/entries.rs
+++ b/crates/daemon/src/callers/entries.rs
@@ -1,9 +1,12 @@
 //! Which entry to use, and tickets for it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushhoist_core::{DaemonPhase, MemberId, MemberState, RegisteredDaemon, ServiceState};
+use bulrushhoist_core::{
+    DaemonPhase, MemberId, MemberState, RegisteredDaemon, ServiceState, WorkloadName,
+};
 use salvo::http::header::{CACHE_CONTROL, HeaderValue};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Json, Request, Response};
 use serde::Serialize;
@@ -22,7 +25,7 @@
 #[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 struct Entry {
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     data_centre: String,
     weight: u32,
 }
@@ -70,20 +73,27 @@
     }
 }
 
-/// Returns the address of another entry with most places for a model.
-pub(super) fn best_entry(node: &Node, model: &str) -> Option<std::net::SocketAddr> {
+/// Chooses another entry that has places for a model, each with a chance in
+/// proportion to its places, so that no entry gets all that is passed on.
+pub(super) fn choose_entry(node: &Node, workload: &WorkloadName) -> Option<SocketAddr> {
     let view = node.view();
     let core = node.core();
-    let places = places(node, &view, &core, model);
+    let places = places(node, &view, &core, workload.as_str());
     let others = view.register.daemons.iter().filter(|d| {
         let active = d.phase == DaemonPhase::Active && d.id != node.id;
         active && core.membership.state(d.id) == MemberState::Alive
     });
-    let placed = |d: &&RegisteredDaemon| places.get(&d.id).copied().unwrap_or(0);
-    others
-        .max_by_key(placed)
-        .filter(|d| placed(d) > 0)
-        .map(|d| d.caller)
+    let placed = others.map(|d| (d.caller, places.get(&d.id).copied().unwrap_or(0)));
+    let placed: Vec<(SocketAddr, u32)> = placed.filter(|(_, places)| *places > 0).collect();
+    let total: u32 = placed.iter().map(|(_, places)| places).sum();
+    let mut drawn = rand::random_range(0..total.max(1));
+    for (caller, places) in placed {
+        if drawn < places {
+            return Some(caller);
+        }
+        drawn -= places;
+    }
+    None
 }
 
 /// Returns the places of each daemon at the replicas of a model that serve.
--- a/crates/daemon/src/callers/run.rs
+++ b/crates/daemon/src/callers/run.rs
@@ -179,8 +179,9 @@
     /// Takes the next attempt's place at a replica.
     pub(super) async fn next(&mut self, node: &Arc<Node>) -> Result<Attempt, Refusal> {
         let attempt = Attempt::acquire(node, &self.request).await;
+        let attempt = attempt.map_err(|refusal| self.refusal(refusal.reason))?;
         self.count += 1;
-        attempt.map_err(|refusal| self.refusal(refusal.reason))
+        Ok(attempt)
     }
 
     /// Ends a failed attempt; an error is final.
@@ -243,6 +244,11 @@
         }
     }
 
+    /// Returns the request that runs.
+    pub(super) const fn request(&self) -> &NewRequest {
+        &self.attempts.request
+    }
+
     /// Returns the endpoint that has the stream.
     pub(super) fn endpoint(&self) -> Option<std::net::SocketAddr> {
         self.current
--- a/crates/daemon/src/controllers/register.rs
+++ b/crates/daemon/src/controllers/register.rs
@@ -3,65 +3,99 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushhoist_core::{DaemonPhase, MemberId, ObjectKey, Register, Standing};
+use bulrushhoist_core::{DaemonPhase, MemberId, Newcomer, ObjectKey, ProbeTarget, Register};
 use bulrushhoist_platform::StoreError;
 use slog::{info, warn};
 
+use super::reports;
 use crate::metrics::PlatformCall;
 use crate::node::Node;
 
 /// Wait after a failed write.
 const PAUSE: Duration = Duration::from_millis(500);
-/// Time after joining for which a daemon counts as a newcomer: others may
-/// still have requests in flight beyond their new share.
-const NEWCOMER: Duration = Duration::from_secs(30);
+/// Time after joining for which a daemon waits for the statements of others.
+/// After it their requests from before have ended.
+const SETTLE: Duration = Duration::from_secs(30);
+/// Time between two questions to daemons that have not made a statement.
+const ASK_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two looks for daemons that vanished.
 const REMOVAL_PERIOD: Duration = Duration::from_secs(5);
 
-/// Registers this daemon and waits until every other knows it.
+/// Registers this daemon and waits until every other makes room for it.
 ///
-/// Any daemon that takes new work has proof that it knew the register at most
-/// the freshness bound ago. Once that time has passed since the registration
-/// was stored, all of them divide replicas' limits by the new count.
+/// The others state by which register they divide replicas' limits, and where
+/// they have more in flight than their share; see `docs/decisions/0004-limits.md`.
+/// If one stays silent, this daemon uses no replica until that one's requests
+/// from before must have ended, but passes requests on to the others.
 pub(crate) async fn join(node: Arc<Node>) {
-    let record = node.record(DaemonPhase::Joining);
-    let mut alone = false;
-    loop {
-        let joined = update(&node, |register| {
-            alone = register.daemons.is_empty();
-            register.insert(record.clone());
-        });
-        match joined.await {
-            Ok(()) => break,
-            Err(e) => {
-                warn!(node.log, "cannot register yet"; "cause" => %e);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
-    if !alone {
-        tokio::time::sleep(node.settings.timing.freshness).await;
+    register(&node).await;
+    {
+        let mut core = node.core();
+        core.newcomer = Some(Newcomer::new(node.view().shares_by));
+        node.refresh_standing(&mut core);
     }
-    let standing = if alone {
-        Standing::Settled
-    } else {
-        Standing::Newcomer(node.now())
-    };
-    node.core().dispatcher.router_mut().set_standing(standing);
+    let hear = tokio::time::timeout(SETTLE, hear_others(&node));
+    tokio::pin!(hear);
+    let patience = node.settings.timing.freshness;
+    let soon = tokio::time::timeout(patience, &mut hear).await;
     node.set_joined();
     info!(node.log, "joined"; "member" => %node.id, "incarnation" => %node.incarnation);
-    if !alone {
-        // A newcomer may use a replica only after a report from now on.
-        tokio::time::sleep(node.settings.timing.evidence).await;
+    let heard = match soon {
+        Ok(heard) => heard,
+        Err(_) => hear.await,
+    };
+    if heard.is_err() {
+        warn!(
+            node.log,
+            "some daemons have not stated what they have in flight"
+        );
+        node.settle();
     }
     while set_phase(&node, DaemonPhase::Active).await.is_err() {
         tokio::time::sleep(PAUSE).await;
     }
-    tokio::time::sleep(NEWCOMER).await;
-    node.core()
-        .dispatcher
-        .router_mut()
-        .set_standing(Standing::Settled);
+    if heard.is_ok() {
+        tokio::time::sleep(SETTLE).await;
+        node.settle();
+    }
+}
+
+/// Stores this daemon's registration, however long the platform is away.
+async fn register(node: &Node) {
+    let record = node.record(DaemonPhase::Joining);
+    while let Err(e) = update(node, |register| register.insert(record.clone())).await {
+        warn!(node.log, "cannot register yet"; "cause" => %e);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Asks the other daemons until each has stated what it has in flight.
+async fn hear_others(node: &Arc<Node>) {
+    loop {
+        let unheard = unheard(node);
+        if unheard.is_empty() {
+            return;
+        }
+        for target in unheard {
+            tokio::spawn(reports::pull(Arc::clone(node), target));
+        }
+        tokio::time::sleep(ASK_PERIOD).await;
+    }
+}
+
+fn unheard(node: &Node) -> Vec<ProbeTarget> {
+    let view = node.view();
+    let core = node.core();
+    let Some(newcomer) = &core.newcomer else {
+        return Vec::new();
+    };
+    let others = view.register.daemons.iter().map(|d| d.id);
+    let unheard = newcomer.unheard(others.filter(|id| *id != node.id));
+    let target = |member| {
+        let address = view.register.get(member)?.peer;
+        Some(ProbeTarget { member, address })
+    };
+    unheard.into_iter().filter_map(target).collect()
 }
 
 /// Changes this daemon's phase in the register.
--- a/crates/daemon/src/controllers/reports.rs
+++ b/crates/daemon/src/controllers/reports.rs
@@ -11,14 +11,15 @@
 
 use bulrushhoist_core::{
     DataCentreName, FencingNumber, GroupNumber, LoadReport, ProbeTarget, RelayedEvidence,
-    ReplicaKey, Time,
+    ReplicaKey, Revision, ShareStatement, Time,
 };
 use bulrushhoist_wire::peer;
 use bulrushhoist_wire::peer::peer_client::PeerClient;
 use prost::Message as _;
 
 use super::gossip::request;
-use crate::node::{Node, replica_key};
+use crate::node::{Core, Node, replica_key};
+use crate::view::View;
 
 /// Asks one half of the live daemons in each period and the other half in the
 /// next, so that the two probers of a group are asked at different times.
@@ -37,7 +38,8 @@
     }
 }
 
-async fn pull(node: Arc<Node>, target: ProbeTarget) {
+/// Asks one daemon and takes its answer.
+pub(super) async fn pull(node: Arc<Node>, target: ProbeTarget) {
     let Some(channel) = node.peers.get(&node, target) else {
         return;
     };
@@ -46,7 +48,11 @@
     let Ok(reply) = PeerClient::new(channel).pull_reports(query).await else {
         return;
     };
-    for reports in reply.into_inner().data_centres {
+    let reply = reply.into_inner();
+    if let Some(statement) = reply.shares {
+        node.take_statement(target.member, from_wire(statement));
+    }
+    for reports in reply.data_centres {
         let Ok(data_centre) = reports.data_centre.parse::<DataCentreName>() else {
             continue;
         };
@@ -61,6 +67,32 @@
     }
 }
 
+fn from_wire(statement: peer::ShareStatement) -> ShareStatement {
+    let replica = |id: peer::ReplicaId| {
+        Some(ReplicaKey {
+            data_centre: id.data_centre.parse().ok()?,
+            number: GroupNumber(id.number),
+        })
+    };
+    ShareStatement {
+        register: Revision::new(statement.register),
+        beyond: statement.beyond.into_iter().filter_map(replica).collect(),
+    }
+}
+
+/// Builds what this daemon says of its own requests in flight.
+fn own_statement(core: &Core, view: &View) -> peer::ShareStatement {
+    let replica = |key: ReplicaKey| peer::ReplicaId {
+        data_centre: key.data_centre.to_string(),
+        number: key.number.0,
+    };
+    let beyond = core.dispatcher.beyond_share();
+    peer::ShareStatement {
+        register: view.shares_by.get(),
+        beyond: beyond.into_iter().map(replica).collect(),
+    }
+}
+
 fn take(node: &Node, sent: Time, key: &ReplicaKey, report: &peer::GroupReport) {
     let evidence = RelayedEvidence {
         composition: FencingNumber::new(report.composition),
@@ -75,7 +107,7 @@
     node.take_relayed(key, evidence, load_dated, load);
 }
 
-/// Builds the findings of this daemon's own probes.
+/// Builds the findings of this daemon's own probes, with its statement.
 pub(super) fn own_reports(node: &Node) -> peer::GroupReports {
     let view = node.view();
     let core = node.core();
@@ -118,7 +150,10 @@
             groups,
         })
         .collect();
-    let reports = peer::GroupReports { data_centres };
+    let reports = peer::GroupReports {
+        data_centres,
+        shares: Some(own_statement(&core, &view)),
+    };
     node.metrics.on_peer_bytes(reports.encoded_len());
     reports
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,8 +8,9 @@
 use bulrushhoist_core::{
     Allocation, Choice, DaemonPhase, Dispatcher, DispatcherSettings, Event, EvidenceBook,
     Freshness, FreshnessSettings, Group, Incarnation, LoadReport, MemberId, Membership,
-    MembershipSettings, NewRequest, ObjectCache, ObjectKey, Outcome, Reason, Refusal,
-    RegisteredDaemon, RelayedEvidence, ReplicaKey, ReplicaView, RequestId, Time, VmName, VmStatus,
+    MembershipSettings, NewRequest, Newcomer, ObjectCache, ObjectKey, Outcome, Reason, Refusal,
+    RegisteredDaemon, RelayedEvidence, ReplicaKey, ReplicaView, RequestId, ShareStatement,
+    Standing, Time, VmName, VmStatus,
 };
 use bulrushhoist_engine::EndpointApi;
 use bulrushhoist_platform::Store;
@@ -33,6 +34,8 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) freshness: Freshness,
     pub(crate) membership: Membership,
+    /// What the others stated, while this daemon waits for them to make room.
+    pub(crate) newcomer: Option<Newcomer>,
 }
 
 type Starter = oneshot::Sender<Result<Choice, Refusal>>;
@@ -85,6 +88,7 @@
             dispatcher: Dispatcher::new(dispatcher, id),
             freshness: Freshness::new(freshness, id),
             membership: Membership::new(MembershipSettings::default(), id),
+            newcomer: None,
         };
         Arc::new(Self {
             tickets: Tickets::new(settings.caller, incarnation),
@@ -162,13 +166,10 @@
 
     fn apply_cache(&self, core: &mut Core) {
         let before = self.view.load();
-        let view = match View::read(&core.cache, &before, self.id) {
-            Ok(view) => view,
-            Err(problems) => {
-                warn!(self.log, "accepted configuration fails its check"; "problems" => %problems);
-                return;
-            }
-        };
+        let (view, configuration) = View::read(&core.cache, &before, self.id);
+        if let Err(problems) = configuration {
+            warn!(self.log, "accepted configuration fails its check"; "problems" => %problems);
+        }
         if view.generation > before.generation {
             info!(self.log, "configuration in force"; "generation" => %view.generation);
             self.metrics.set_generation(view.generation.get());
@@ -190,6 +191,7 @@
             replicas,
         );
         self.view.store(Arc::new(view));
+        self.refresh_standing(core);
         self.refresh_serving(core, now);
     }
 
@@ -239,6 +241,36 @@
         }
     }
 
+    /// Takes another daemon's statement of its requests in flight.
+    pub(crate) fn take_statement(&self, from: MemberId, statement: ShareStatement) {
+        let mut core = self.core();
+        if let Some(newcomer) = &mut core.newcomer {
+            newcomer.on_statement(from, statement);
+            self.refresh_standing(&mut core);
+        }
+    }
+
+    /// Uses the shares at which the others have made room.
+    pub(crate) fn refresh_standing(&self, core: &mut Core) {
+        let Some(newcomer) = &core.newcomer else {
+            return;
+        };
+        let view = self.view.load();
+        let others = view.register.daemons.iter().map(|d| d.id);
+        let standing = newcomer.standing(others.filter(|id| *id != self.id));
+        if standing == Standing::Settled {
+            core.newcomer = None;
+        }
+        core.dispatcher.router_mut().set_standing(standing);
+    }
+
+    /// Uses all shares from here on, whatever the others have stated.
+    pub(crate) fn settle(&self) {
+        let mut core = self.core();
+        core.newcomer = None;
+        core.dispatcher.router_mut().set_standing(Standing::Settled);
+    }
+
     /// Takes the loss of a request to an endpoint: its group is out of use
     /// until newer reports come.
     pub(crate) fn distrust(&self, vm: &VmName) {
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -21,6 +21,8 @@
     pub(crate) deployment: Deployment,
     pub(crate) service: DataCentreService,
     pub(crate) register: Register,
+    /// Revision of the register by which limits are divided.
+    pub(crate) shares_by: Revision,
     pub(crate) allocations: Vec<Allocation>,
     /// Place of each VM's group: its allocation and its index there.
     places: HashMap<VmName, Place>,
@@ -40,16 +42,21 @@
         cache: &ObjectCache,
         before: &Self,
         own: MemberId,
-    ) -> Result<Self, Problems> {
-        let manifest = cache.read::<Manifest>(&ObjectKey::manifest());
-        let newer = manifest.filter(|m| m.revision > before.generation);
-        let (generation, deployment) = match newer.map(|m| (m.revision, m.body)) {
-            Some((revision, manifest)) => match read_files(cache, &manifest) {
-                Some(files) => (revision, check_files(&files)?),
-                None => (before.generation, before.deployment.clone()),
-            },
-            None => (before.generation, before.deployment.clone()),
-        };
+    ) -> (Self, Result<(), Problems>) {
+        let newer = newer_configuration(cache, before.generation);
+        let kept = || (before.generation, before.deployment.clone());
+        match newer {
+            Ok(found) => (Self::with(cache, found.unwrap_or_else(kept), own), Ok(())),
+            Err(problems) => (Self::with(cache, kept(), own), Err(problems)),
+        }
+    }
+
+    /// Reads everything but the configuration, which is given.
+    fn with(
+        cache: &ObjectCache,
+        (generation, deployment): (Revision, Deployment),
+        own: MemberId,
+    ) -> Self {
         let allocations: Vec<Allocation> = deployment
             .data_centres
             .keys()
@@ -60,9 +67,9 @@
             .read(&ObjectKey::service())
             .map(|s| s.body)
             .unwrap_or_default();
-        let register = cache
-            .read(&ObjectKey::register())
-            .map(|s| s.body)
+        let (shares_by, register) = cache
+            .read::<Register>(&ObjectKey::register())
+            .map(|s| (s.revision, s.body))
             .unwrap_or_default();
         let places = places(&allocations);
         let mut view = Self {
@@ -70,12 +77,13 @@
             deployment,
             service,
             register,
+            shares_by,
             allocations,
             places,
             ..Self::default()
         };
         view.index_groups(own);
-        Ok(view)
+        view
     }
 
     fn index_groups(&mut self, own: MemberId) {
@@ -144,6 +152,21 @@
     part_keys(&stamped.body).all(|key| cache.get(&key).is_some())
 }
 
+/// Returns the accepted configuration if it is newer and here whole.
+fn newer_configuration(
+    cache: &ObjectCache,
+    held: Revision,
+) -> Result<Option<(Revision, Deployment)>, Problems> {
+    let manifest = cache.read::<Manifest>(&ObjectKey::manifest());
+    let Some(newer) = manifest.filter(|m| m.revision > held) else {
+        return Ok(None);
+    };
+    let Some(files) = read_files(cache, &newer.body) else {
+        return Ok(None);
+    };
+    Ok(Some((newer.revision, check_files(&files)?)))
+}
+
 fn read_files(cache: &ObjectCache, manifest: &Manifest) -> Option<Vec<SourceFile>> {
     let file = |(name, digest): (&String, &String)| {
         let text = cache.read::<String>(&ObjectKey::part(digest))?.body;
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -10,12 +10,12 @@
 
 use bulrushhoist_core::{
     DataCentreName, DataCentreService, Deployment, Dispatcher, DispatcherSettings, Event, Fencing,
-    Fingerprint, Group, LimitSettings, LoadReport, MemberId, NewRequest, Outcome, Register,
-    ReplicaKey, ReplicaLimit, ReplicaView, RequestId, Standing, Time,
+    Fingerprint, Group, LimitSettings, LoadReport, MemberId, NewRequest, Newcomer, Outcome,
+    Register, ReplicaKey, ReplicaLimit, ReplicaView, RequestId, Revision, ShareStatement, Standing,
+    Time,
 };
 use proptest::collection::vec;
-use proptest::prelude::{Just, Strategy, any, prop_oneof};
-use proptest::sample::Index;
+use proptest::prelude::{Just, Strategy, prop_oneof};
 use smallvec::SmallVec;
 
 use crate::fixtures;
@@ -24,8 +24,10 @@
 const LIFE: Duration = Duration::from_secs(3);
 /// Longest run of a request.
 const LONGEST_RUN: Duration = Duration::from_secs(20);
-/// Time for which an entry counts as a newcomer.
-const NEWCOMER: Duration = Duration::from_secs(30);
+/// Time for which an entry waits for the statements of others.
+const SETTLE: Duration = Duration::from_secs(30);
+/// Numbers by which a drawn action picks an entry or a request.
+const PICKS: usize = 1 << 16;
 /// Entries at most.
 const ENTRIES_MAX: usize = 9;
 
@@ -57,22 +59,26 @@
     /// An entry registers.
     Register,
     /// An entry that drained deregisters.
-    Leave(Index),
+    Leave(usize),
     /// An entry learns the newest register.
-    Learn(Index),
+    Learn(usize),
     /// Callers send some requests to an entry.
-    Send(Index, u8),
+    Send(usize, u8),
     /// A request ends.
-    End(Index),
-    /// An entry's probe is sent and answered; the report arrives later.
-    Probe(Index),
+    End(usize),
+    /// An entry's probe is sent and answered.
+    Probe(usize),
+    /// An entry asks every other what it has in flight.
+    Ask(usize),
+    /// An answer to such a question arrives.
+    Answer(usize),
     /// The endpoint restarts cold; its requests are lost.
     Restart,
 }
 
 /// Draws a run of the world.
 pub fn cold_actions() -> impl Strategy<Value = Vec<ColdAction>> {
-    let index = || any::<Index>();
+    let index = || 0..PICKS;
     let action = prop_oneof![
         4 => (1_u64..2_000).prop_map(ColdAction::Advance),
         2 => Just(ColdAction::Register),
@@ -81,6 +87,8 @@
         8 => (index(), 1_u8..12).prop_map(|(i, n)| ColdAction::Send(i, n)),
         6 => index().prop_map(ColdAction::End),
         8 => index().prop_map(ColdAction::Probe),
+        4 => index().prop_map(ColdAction::Ask),
+        16 => index().prop_map(ColdAction::Answer),
         1 => Just(ColdAction::Restart),
     ];
     vec(action, 1..300)
@@ -91,7 +99,14 @@
     dispatcher: Dispatcher,
     known: u64,
     registered: Time,
-    joined: Option<Time>,
+    newcomer: Option<Newcomer>,
+}
+
+/// An entry's answer on its way to another.
+struct Transit {
+    from: MemberId,
+    to: MemberId,
+    statement: ShareStatement,
 }
 
 struct Running {
@@ -110,10 +125,12 @@
     entries: Vec<Entry>,
     registers: Vec<(Time, Register)>,
     running: Vec<Running>,
+    transits: Vec<Transit>,
     limits: LimitSettings,
     epoch: u64,
     served: u64,
     next: u64,
+    settled: usize,
 }
 
 impl ColdWorld {
@@ -142,10 +159,12 @@
             entries: Vec::new(),
             registers: vec![(Time::ZERO, Register::default())],
             running: Vec::new(),
+            transits: Vec::new(),
             limits,
             epoch: 1,
             served: 0,
             next: 1,
+            settled: 0,
         }
     }
 
@@ -182,6 +201,16 @@
                     self.probe(at);
                 }
             }
+            ColdAction::Ask(at) => {
+                if let Some(at) = pick(*at, self.entries.len()) {
+                    self.ask(at);
+                }
+            }
+            ColdAction::Answer(at) => {
+                if let Some(at) = pick(*at, self.transits.len()) {
+                    self.answer(at);
+                }
+            }
             ColdAction::Restart => self.restart(),
         }
         self.check()
@@ -191,7 +220,13 @@
         self.now = self.now + span;
         for at in 0..self.entries.len() {
             self.keep_fresh(at);
-            self.keep_standing(at);
+            if self.now.since(self.entries[at].registered) >= SETTLE {
+                self.settle(at);
+            }
+            let entry = &mut self.entries[at];
+            let events = entry.dispatcher.tick(self.now);
+            let id = entry.id;
+            self.note_started(id, &events);
         }
         while let Some(at) = self
             .running
@@ -221,27 +256,57 @@
         }
     }
 
-    fn keep_standing(&mut self, at: usize) {
+    /// After the longest run of a request no statement is needed.
+    fn settle(&mut self, at: usize) {
         let entry = &mut self.entries[at];
-        match entry.joined {
-            None if self.now.since(entry.registered) >= LIFE => {
-                entry.joined = Some(self.now);
-                entry
-                    .dispatcher
-                    .router_mut()
-                    .set_standing(Standing::Newcomer(self.now));
-                entry.dispatcher.set_fresh_until(fixtures::FOREVER);
-            }
-            Some(joined) if self.now.since(joined) >= NEWCOMER => {
-                entry
-                    .dispatcher
-                    .router_mut()
-                    .set_standing(Standing::Settled);
-            }
-            _ => {}
+        entry.newcomer = None;
+        entry
+            .dispatcher
+            .router_mut()
+            .set_standing(Standing::Settled);
+    }
+
+    fn ask(&mut self, at: usize) {
+        let asker = self.entries[at].id;
+        for asked in self.entries.iter().filter(|e| e.id != asker) {
+            let statement = ShareStatement {
+                register: Revision::new(asked.known),
+                beyond: asked.dispatcher.beyond_share(),
+            };
+            self.transits.push(Transit {
+                from: asked.id,
+                to: asker,
+                statement,
+            });
         }
     }
 
+    fn answer(&mut self, at: usize) {
+        let transit = self.transits.swap_remove(at);
+        let Some(asker) = self.entries.iter().position(|e| e.id == transit.to) else {
+            return;
+        };
+        if let Some(newcomer) = &mut self.entries[asker].newcomer {
+            newcomer.on_statement(transit.from, transit.statement);
+        }
+        self.refresh_standing(asker);
+    }
+
+    fn refresh_standing(&mut self, at: usize) {
+        let entry = &mut self.entries[at];
+        let Some(newcomer) = &entry.newcomer else {
+            return;
+        };
+        let register = &self.registers[entry.known as usize].1;
+        let others = register.daemons.iter().map(|d| d.id);
+        let standing = newcomer.standing(others.filter(|id| *id != entry.id));
+        if standing == Standing::Settled {
+            entry.newcomer = None;
+            self.settled += usize::from(register.daemons.len() > 1);
+        }
+        entry.dispatcher.router_mut().set_standing(standing);
+    }
+
     fn register(&mut self) {
         if self.entries.len() >= ENTRIES_MAX {
             return;
@@ -250,23 +315,25 @@
         self.next += 1;
         let mut register = self.newest().clone();
         register.insert(fixtures::daemon(id, &self.home));
+        let joined = Revision::new(self.registers.len() as u64);
         self.registers.push((self.now, register));
         let settings = DispatcherSettings {
             seed: id.get(),
             ..DispatcherSettings::default()
         };
-        let dispatcher = Dispatcher::new(settings, id);
+        let mut dispatcher = Dispatcher::new(settings, id);
+        dispatcher.set_fresh_until(fixtures::FOREVER);
         self.entries.push(Entry {
             id,
             dispatcher,
             known: 0,
             registered: self.now,
-            joined: None,
+            newcomer: Some(Newcomer::new(joined)),
         });
         self.learn(self.entries.len() - 1);
     }
 
-    fn leave(&mut self, at: Index) {
+    fn leave(&mut self, at: usize) {
         let Some(at) = pick(at, self.entries.len()) else {
             return;
         };
@@ -298,6 +365,7 @@
         dispatcher.reconfigure(&self.deployment, &service, &register, &self.home, [view]);
         let always = Some(fixtures::FOREVER);
         dispatcher.router_mut().set_serving(&key, always);
+        self.refresh_standing(at);
     }
 
     fn send(&mut self, at: usize, count: u8) {
@@ -397,6 +465,12 @@
         Ok(())
     }
 
+    /// Returns the entries that settled by the statements of others.
+    #[must_use]
+    pub fn settled(&self) -> usize {
+        self.settled
+    }
+
     /// Returns the requests that run now.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -410,6 +484,6 @@
     }
 }
 
-fn pick(at: Index, len: usize) -> Option<usize> {
-    (len > 0).then(|| at.index(len))
+fn pick(at: usize, len: usize) -> Option<usize> {
+    (len > 0).then(|| at % len)
 }
--- a/crates/oracle/tests/worlds.rs
+++ b/crates/oracle/tests/worlds.rs
@@ -88,6 +88,29 @@
     }
 }
 
+/// Entries that only ever wait would overload nothing.
+#[test]
+fn the_drawn_runs_settle_newcomers_and_fill_the_endpoint() {
+    let mut runner = TestRunner::new(fuzz_config(COLD_SEED));
+    let (mut settled, mut full) = (0, 0);
+    for _ in 0..100 {
+        let actions = cold_actions()
+            .new_tree(&mut runner)
+            .expect("a run is drawn")
+            .current();
+        let mut world = ColdWorld::new();
+        let mut running = 0;
+        for action in &actions {
+            world.step(action).expect("the oracle holds");
+            running = running.max(world.running());
+        }
+        settled += usize::from(world.settled() > 0);
+        full += usize::from(running >= 3);
+    }
+    assert!(settled >= 30, "newcomers settled in {settled} of 100 runs");
+    assert!(full >= 30, "the endpoint was full in {full} of 100 runs");
+}
+
 proptest! {
     #![proptest_config(fuzz_config(TICKETS_SEED))]
     #[test]
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -258,7 +258,7 @@
     replace_every_daemon(3).await;
 }
 
-/// As many daemons as a deployment has; see KNOWN-RED.txt.
+/// As many daemons as a deployment has.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_replacement_of_seven_daemons_refuses_no_request() {
     replace_every_daemon(7).await;
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -38,6 +38,16 @@
     }
 }
 
+/// Programs write their logs to the test's output if this is set.
+const SHOW_LOGS: &str = "BULRUSHHOIST_TEST_LOGS";
+
+fn log_output() -> Stdio {
+    match std::env::var_os(SHOW_LOGS) {
+        Some(_) => Stdio::inherit(),
+        None => Stdio::null(),
+    }
+}
+
 /// A process that ends with its owner.
 pub(crate) struct Process {
     pub(crate) child: Child,
@@ -48,7 +58,7 @@
         let child = Command::new(self::program(program))
             .args(arguments)
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(log_output())
             .spawn()
             .expect("the program was built");
         Self { child }
