Stop new work on leaving endpoints at once

Cause: a group with a leaving member took new work until its replacement had loaded. With a load of 8 s its endpoint got 66 new requests in the 5 s that begin 3 s after the notice, against the promise that a leaving endpoint gets none after a few seconds.

Ruled out: the lagging VM list (the test lists the VM at once; a first form of the test did not, and failed for that reason alone) and late views of entries.

Change: the first pass that finds a member leaving takes the group out of use; the wait for entries to stop runs beside the load; a group whose domain has no spare is formed anew in another; a member that stays brings the group back.

Before: 66 new requests; 2 of 3 new tests in virtual time failed. After: 0; all pass, the fuzz worlds too (20,000 cases were stopped by time after 4 minutes, without a violation).

A planned replacement costs the group the load time, which preloaded spares would save; docs/decisions/0003-groups.md weighs it.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -108,6 +108,7 @@
         self.release_settled(situation, &mut next);
         self.dissolve(situation, &mut next);
         self.commit_swaps(situation, &mut next);
+        self.stop_leaving(&mut next);
         if !self.is_blind(situation.now) {
             let mut spares = self.spares(situation, &next);
             self.replace_members(situation, &mut next, &mut spares);
--- a/crates/core/src/placement/forming.rs
+++ b/crates/core/src/placement/forming.rs
@@ -45,8 +45,8 @@
         situation.vms.iter().filter(usable).map(spare).collect()
     }
 
-    /// Picks a spare for each dead or leaving member, for groups that are down
-    /// before groups that still serve.
+    /// Picks a spare for each dead or leaving member, for groups with dead ones
+    /// first. Groups with either are out of use until they are mended.
     pub(super) fn replace_members(
         &self,
         situation: &Situation<'_>,
@@ -55,7 +55,7 @@
     ) {
         for dead_first in [true, false] {
             for group in &mut next.groups {
-                if group.phase != GroupPhase::Active {
+                if group.phase == GroupPhase::Draining {
                     continue;
                 }
                 let must_go = |m: &Member| match dead_first {
@@ -70,7 +70,7 @@
                     if let Some(member) = take_spare(spares, group.domain.as_ref()) {
                         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
                         group.replacements.push(Replacement { rank, member });
-                    } else if dead_first && fits_elsewhere(spares, group) {
+                    } else if fits_elsewhere(spares, group) {
                         // Its domain cannot mend it, another can form it anew.
                         begin_draining(group);
                         break;
--- a/crates/core/src/placement/swaps.rs
+++ b/crates/core/src/placement/swaps.rs
@@ -8,7 +8,10 @@
     /// Puts loaded replacements into the places they were loaded for.
     pub(super) fn commit_swaps(&mut self, situation: &Situation<'_>, next: &mut Allocation) {
         for at in 0..next.groups.len() {
-            let group = &next.groups[at];
+            let group = next.groups[at].clone();
+            // Asked in each pass, since the wait for the entries counts from
+            // the first one that finds the group swapping.
+            let idle = group.phase == GroupPhase::Swapping && self.is_idle(situation, &group);
             if group.phase == GroupPhase::Draining || group.replacements.is_empty() {
                 continue;
             }
@@ -25,12 +28,26 @@
             let all_loaded = group.replacements.iter().filter(loaded).count()
                 == group.replacements.len()
                 && !group.replacements.is_empty();
-            if any_lost {
+            if any_lost || (all_loaded && idle) {
                 self.commit_loaded(situation, next, at);
             } else if all_loaded && group.phase == GroupPhase::Active {
                 next.groups[at].phase = GroupPhase::Swapping;
-            } else if all_loaded && self.is_idle(situation, &next.groups[at].clone()) {
-                self.commit_loaded(situation, next, at);
+            }
+        }
+    }
+
+    /// Takes groups with leaving members out of use at once, not only when
+    /// the replacements have loaded, and back into use if the members stay.
+    pub(super) fn stop_leaving(&mut self, next: &mut Allocation) {
+        for group in &mut next.groups {
+            let leaving = group.members.iter().any(|m| self.leaving.contains(&m.vm));
+            match group.phase {
+                GroupPhase::Active if leaving => group.phase = GroupPhase::Swapping,
+                GroupPhase::Swapping if !leaving && group.replacements.is_empty() => {
+                    group.phase = GroupPhase::Active;
+                    self.quiet.remove(&(group.number, group.composition));
+                }
+                GroupPhase::Active | GroupPhase::Swapping | GroupPhase::Draining => {}
             }
         }
     }
@@ -47,10 +64,6 @@
             !works && !self.is_dead(situation.now, &r.member.vm)
         });
         group.replacements = kept.into();
-        if group.replacements.is_empty() {
-            group.phase = GroupPhase::Active;
-            self.quiet.remove(&(group.number, group.composition));
-        }
         for replacement in dropped {
             self.settle(situation.now, next, &replacement.member.vm);
         }
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -305,6 +305,21 @@
         self.vms[at].last_up = self.now;
     }
 
+    /// Returns the VMs of the fabric domain that a VM is in.
+    #[must_use]
+    pub fn domain(&self, vm: &VmName) -> Vec<VmName> {
+        let domain = &self.vms[self.place(vm)].record.domain;
+        let records = self.vms.iter().map(|v| &v.record);
+        let inside = records.filter(|r| r.domain == *domain);
+        inside.map(|r| r.vm.clone()).collect()
+    }
+
+    /// Lists a VM as leaving, or no longer.
+    pub fn list_leaving(&mut self, vm: &VmName, leaving: bool) {
+        let at = self.place(vm);
+        self.vms[at].record.leaving = leaving;
+    }
+
     fn survey(&mut self, at: usize) {
         let controller = &mut self.controllers[at];
         if controller.partitioned {
--- a/crates/oracle/tests/recovery.rs
+++ b/crates/oracle/tests/recovery.rs
@@ -67,3 +67,41 @@
     assert_eq!(world.swaps(), swaps, "nothing was swapped");
     assert!(world.members(3).contains(&member));
 }
+
+#[test]
+fn a_group_with_a_leaving_member_takes_no_new_work_while_its_replacement_loads() {
+    let mut world = whole_world();
+    let member = world.members(3)[1].clone();
+    world.list_leaving(&member, true);
+    // Within a second, which is before the replacement has loaded.
+    rounds(&mut world, 2);
+    assert_eq!(world.serving(), 3, "the group still takes work");
+    // The load goes on beside the entries' 5 s to stop sending.
+    let more = rounds_until_whole(&mut world, 30);
+    assert!(more <= 12, "{more} more rounds");
+    assert!(!world.members(3).contains(&member));
+}
+
+#[test]
+fn a_member_that_stays_after_all_keeps_its_place() {
+    let mut world = whole_world();
+    let swaps = world.swaps();
+    let member = world.members(3)[1].clone();
+    world.list_leaving(&member, true);
+    rounds(&mut world, 4);
+    world.list_leaving(&member, false);
+    rounds_until_whole(&mut world, 4);
+    assert_eq!(world.swaps(), swaps, "nothing was swapped");
+    assert!(world.members(3).contains(&member));
+}
+
+#[test]
+fn a_group_whose_whole_domain_leaves_is_formed_anew_elsewhere() {
+    let mut world = whole_world();
+    for vm in world.domain(&world.members(3)[0]) {
+        world.list_leaving(&vm, true);
+    }
+    rounds(&mut world, 2);
+    assert!(world.serving() < 4, "leaving VMs still take work");
+    rounds_until_whole(&mut world, 60);
+}
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bulrushhoist_cli::apply_files;
-use bulrushhoist_core::{Deployment, SourceFile, check_files};
+use bulrushhoist_core::{Deployment, SourceFile, VmName, check_files};
 use bulrushhoist_daemon::{CallerLimits, Daemon, LogSettings, Security, Settings, Timing, logger};
 use bulrushhoist_platform::{HttpPlatform, Store};
 use tokio::time::Instant;
 
-use crate::endpoint::{Farm, FarmLayout, FarmSettings};
+use crate::endpoint::{Farm, FarmLayout, FarmSettings, VmFault};
 use crate::platform::PlatformStandin;
 
 /// Time that one call to the platform may take.
@@ -117,6 +117,14 @@
         Ok(Daemon::start(settings, logger(self.settings.log)).await?)
     }
 
+    /// Shows a fault of one VM and lists the VMs anew at the platform; returns
+    /// whether the VM exists.
+    pub fn fault(&self, vm: &VmName, fault: VmFault) -> bool {
+        let found = self.farm.fault(vm, fault);
+        self.platform.set_vms(self.farm.records());
+        found
+    }
+
     /// Waits until every daemon is ready and every declared group serves.
     pub async fn wait_until_serving(&self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
--- a/crates/standin/tests/faults/endpoints.rs
+++ b/crates/standin/tests/faults/endpoints.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushhoist_cli::set_service;
-use bulrushhoist_core::{ServiceState, VmName, VmPhase};
+use bulrushhoist_core::{ServiceState, VmName, VmPhase, VmStatus};
 use bulrushhoist_standin::{FarmSettings, VmFault, expected_part};
 use serde_json::Value;
 use tokio::task::JoinSet;
@@ -39,7 +39,7 @@
     let response = world.complete(0, body).await;
     let leader = world.busy_leader().await;
     let start = Instant::now();
-    assert!(world.local.farm.fault(&leader, VmFault::Silence));
+    assert!(world.local.fault(&leader, VmFault::Silence));
     let text = response.text().await.expect("the stream ends");
     assert_whole(&text, body, 150);
     assert!(
@@ -67,7 +67,7 @@
     });
     let leader = world.busy_leader().await;
     let start = Instant::now();
-    world.local.farm.fault(&leader, VmFault::Silence);
+    world.local.fault(&leader, VmFault::Silence);
     assert_eq!(answer.await.expect("the caller gets an answer"), 200);
     assert!(
         start.elapsed() < Duration::from_secs(8),
@@ -140,7 +140,7 @@
                 && s.workload == member.workload
         })
         .expect("the group has a leader");
-    world.local.farm.fault(&member.vm, VmFault::Die);
+    world.local.fault(&member.vm, VmFault::Die);
     let died = Instant::now();
     // Evidence counts for two seconds; after that nothing may start there.
     tokio::time::sleep(Duration::from_millis(2_100)).await;
@@ -224,6 +224,42 @@
     assert!(world.local.wait_until_serving(WHOLE).await);
 }
 
+/// Time after which an endpoint that is listed as leaving gets no new work.
+const LEFT_WITHIN: Duration = Duration::from_secs(3);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_endpoint_gets_no_new_work_while_its_replacement_loads() {
+    let farm = FarmSettings {
+        load: Duration::from_secs(8),
+        ..FarmSettings::default()
+    };
+    let world = Arc::new(World::start(2, farm).await);
+    let leader = world.bench_leader();
+    let until = Instant::now() + Duration::from_secs(8);
+    let mut callers = JoinSet::new();
+    for caller in 0..4 {
+        let world = Arc::clone(&world);
+        callers.spawn(async move {
+            let body = format!(r#"{{"model":"bench","max_tokens":8,"messages":["{caller}"]}}"#);
+            while Instant::now() < until {
+                let status = world.complete(caller, &body).await.status();
+                assert_eq!(status, 200, "a request was refused");
+            }
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(world.status(&leader).served > 0, "the endpoint is used");
+    world.local.fault(&leader, VmFault::Leave);
+    tokio::time::sleep(LEFT_WITHIN).await;
+    let taken = |status: &VmStatus| status.served + u64::from(status.running);
+    let before = taken(&world.status(&leader));
+    while let Some(done) = callers.join_next().await {
+        done.expect("no request fails");
+    }
+    let after = taken(&world.status(&leader));
+    assert!(after <= before, "{} new requests", after - before);
+}
+
 /// Time within which every entry knows that an endpoint turned cold: two
 /// periods of probes, one by the prober and one by those who ask it, and the
 /// longest run of the requests from before.
@@ -239,12 +275,7 @@
         ..FarmSettings::default()
     };
     let world = Arc::new(World::start(2, farm).await);
-    let leader = world.local.farm.statuses().into_iter().find(|s| {
-        s.rank == 0
-            && s.phase == VmPhase::Ready
-            && s.workload.as_ref().is_some_and(|w| w.as_str() == "bench")
-    });
-    let leader = leader.expect("a replica serves").vm;
+    let leader = world.bench_leader();
     let until = Instant::now() + Duration::from_secs(9);
     let mut tasks = JoinSet::new();
     for caller in 0..callers {
@@ -261,7 +292,7 @@
         });
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
-    world.local.farm.fault(&leader, VmFault::TurnCold);
+    world.local.fault(&leader, VmFault::TurnCold);
     tokio::time::sleep(COLD_KNOWN_WITHIN).await;
     while Instant::now() < until {
         let status = world.status(&leader);
--- a/crates/standin/tests/faults/platform.rs
+++ b/crates/standin/tests/faults/platform.rs
@@ -139,7 +139,7 @@
     let statuses = world.local.farm.statuses();
     let member = statuses.iter().find(|s| s.group.is_some() && s.rank == 3);
     let member = member.expect("a group of four has a rank 3").vm.clone();
-    world.local.farm.fault(&member, VmFault::Die);
+    world.local.fault(&member, VmFault::Die);
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert!(
         world.local.wait_until_serving(WHOLE).await,
--- a/crates/standin/tests/faults/world.rs
+++ b/crates/standin/tests/faults/world.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushhoist_cli::read_directory;
-use bulrushhoist_core::{SourceFile, VmName, VmStatus};
+use bulrushhoist_core::{SourceFile, VmName, VmPhase, VmStatus};
 use bulrushhoist_standin::{FarmSettings, Local, LocalSettings};
 use reqwest::{Client, Response};
 use serde_json::Value;
@@ -89,6 +89,16 @@
             .to_owned()
     }
 
+    /// Returns a VM that takes the requests of a replica of `bench`.
+    pub(crate) fn bench_leader(&self) -> VmName {
+        let leader = self.local.farm.statuses().into_iter().find(|s| {
+            s.rank == 0
+                && s.phase == VmPhase::Ready
+                && s.workload.as_ref().is_some_and(|w| w.as_str() == "bench")
+        });
+        leader.expect("a replica serves").vm
+    }
+
     pub(crate) fn status(&self, vm: &VmName) -> VmStatus {
         let statuses = self.local.farm.statuses();
         let found = statuses.into_iter().find(|s| s.vm == *vm);
