Let replicas that were slow come back into use

Cause: two estimates changed only with answers. The moving average of first-token times: a replica that was slow is avoided, so it stays slow in the entry's eyes for good. The reduced limit: an entry whose share of it fell to no place gets no answers and never raises it. Either strands accelerators.

Ruled out: evidence and cold limits (both recover by probes).

A reduced limit also rises with each report. The estimate moved from the limit to a module of its own.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -403,8 +403,7 @@
         };
         if !running.observed {
             running.observed = true;
-            self.router
-                .observe(&running.replica, |l| l.on_first_token(now, took));
+            self.router.on_first_token(now, &running.replica, took);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 mod retry;
 mod route;
 mod service;
+mod speed;
 mod tables;
 mod ticket;
 mod time;
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -12,15 +12,13 @@
 
 use crate::time::Time;
 
-/// Weight of a new observation in the moving average of first-token times.
-const SMOOTHING: f64 = 0.2;
 /// Times the target at which a slow replica is taken to be cold.
 const COLLAPSE_FACTOR: f64 = 2.0;
 /// Lowest factor to which slowness alone reduces the limit.
 const FACTOR_MIN: f64 = 0.05;
 /// Factor by which one slow answer reduces the limit.
 const DECREASE: f64 = 0.7;
-/// Share of the limit regained by one fast answer.
+/// Share of the limit regained by one fast answer or one report.
 const INCREASE: f64 = 0.02;
 
 /// What is declared of a replica's limits.
@@ -53,7 +51,6 @@
     served: u64,
     served_at_collapse: u64,
     factor: f64,
-    latency_s: Option<f64>,
     held_until: Time,
 }
 
@@ -67,7 +64,6 @@
             served: 0,
             served_at_collapse: 0,
             factor: 1.0,
-            latency_s: None,
             held_until: Time::ZERO,
         }
     }
@@ -75,34 +71,42 @@
     /// Takes the endpoint's report: the run of its process and the requests
     /// it served since it became cold. Reports of several probers may come out
     /// of order, so a slightly lower count is not taken for a fresh start.
-    pub fn on_report(&mut self, epoch: u64, served: u64) {
+    ///
+    /// A reduced limit rises with each report, unless slow answers reduce it
+    /// again. An entry whose share it left without a place could not learn
+    /// otherwise that the replica is fast again.
+    pub fn on_report(&mut self, now: Time, epoch: u64, served: u64) {
         let restarted = epoch != self.epoch || served < self.served / 2;
         if !restarted {
             self.served = self.served.max(served);
+            if now >= self.held_until {
+                self.increase();
+            }
             return;
         }
         self.epoch = epoch;
         self.served = served;
         self.served_at_collapse = 0;
         self.factor = 1.0;
-        self.latency_s = None;
     }
 
     /// Takes the time to the first token of one answer.
     pub fn on_first_token(&mut self, now: Time, took: Duration) {
         let took = took.as_secs_f64();
-        let before = self.latency_s.unwrap_or(took);
-        self.latency_s = Some(before + SMOOTHING * (took - before));
         let target = self.settings.target.as_secs_f64();
         if took > target * COLLAPSE_FACTOR {
             self.collapse(now);
         } else if took > target {
             self.decrease(now);
         } else {
-            self.factor = (self.factor + INCREASE).min(1.0);
+            self.increase();
         }
     }
 
+    fn increase(&mut self) {
+        self.factor = (self.factor + INCREASE).min(1.0);
+    }
+
     /// Takes an endpoint's refusal for lack of capacity.
     pub fn on_refused(&mut self, now: Time) {
         self.decrease(now);
@@ -148,10 +152,4 @@
     pub fn is_cold(&self) -> bool {
         self.total() < self.settings.warm
     }
-
-    /// Returns the moving average of first-token times, in seconds.
-    #[must_use]
-    pub const fn latency_s(&self) -> Option<f64> {
-        self.latency_s
-    }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -17,6 +17,7 @@
 use crate::allocation::GroupNumber;
 use crate::ids::{DataCentreName, VmName, WorkloadName, stable_hash};
 use crate::limit::{LimitSettings, ReplicaLimit, share_of};
+use crate::speed::{ReplicaSpeed, TypicalSpeed};
 use crate::time::Time;
 use crate::vm::LoadReport;
 
@@ -28,6 +29,8 @@
 const RING_POINTS: u64 = 8;
 /// Share of the first-token time that a cached prefix is assumed to save.
 const PREFIX_SAVING: f64 = 0.5;
+/// Share of the declared first-token time that is assumed at first.
+const UNOBSERVED: f64 = 0.25;
 
 /// Identity of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -109,6 +112,7 @@
 struct Replica {
     spec: ReplicaSpec,
     limit: ReplicaLimit,
+    speed: ReplicaSpeed,
     in_flight: u32,
     reported: u32,
     reported_at: Time,
@@ -138,10 +142,16 @@
         self.spec.in_service && self.in_flight < self.allowance(standing)
     }
 
+    /// Seconds to a first token that the workload's replicas take, or a part of
+    /// the target before any was observed.
+    fn typical_s(&self, typical: TypicalSpeed) -> f64 {
+        typical.first_token_s(self.spec.limits.target.as_secs_f64() * UNOBSERVED)
+    }
+
     /// Estimated seconds until the first token of one more request.
-    fn cost(&self, cached: bool) -> f64 {
-        let target = self.spec.limits.target.as_secs_f64();
-        let base = self.limit.latency_s().unwrap_or(target / 4.0);
+    fn cost(&self, now: Time, typical: TypicalSpeed, cached: bool) -> f64 {
+        let typical_s = self.typical_s(typical);
+        let base = self.speed.first_token_s(now, typical_s);
         let saved = if cached { PREFIX_SAVING } else { 0.0 };
         let load = f64::from(self.in_flight + 1) / f64::from(self.share().max(1));
         base * (1.0 - saved + load) + 2.0 * self.spec.one_way_delay.as_secs_f64()
@@ -151,6 +161,7 @@
 /// The replicas of one workload.
 #[derive(Debug, Default)]
 struct Pool {
+    typical: TypicalSpeed,
     open: BTreeMap<DataCentreName, Vec<ReplicaKey>>,
     ring: Vec<(u64, ReplicaKey)>,
 }
@@ -191,7 +202,10 @@
     /// Replaces the set of replicas; what is known of those that stay is kept.
     pub(crate) fn set_replicas(&mut self, specs: Vec<ReplicaSpec>) {
         let mut before = std::mem::take(&mut self.replicas);
-        self.pools.clear();
+        for pool in self.pools.values_mut() {
+            pool.open.clear();
+            pool.ring.clear();
+        }
         for spec in specs {
             let key = spec.key.clone();
             let replica = match before.remove(&key) {
@@ -209,6 +223,7 @@
                 }
                 other => Replica {
                     limit: ReplicaLimit::new(spec.limits),
+                    speed: ReplicaSpeed::default(),
                     in_flight: other.map_or(0, |o| o.in_flight),
                     reported: 0,
                     reported_at: Time::ZERO,
@@ -226,6 +241,7 @@
             self.replicas.insert(key.clone(), replica);
             self.refresh(&key);
         }
+        self.pools.retain(|_, pool| !pool.ring.is_empty());
         for pool in self.pools.values_mut() {
             pool.ring.sort_unstable();
         }
@@ -247,7 +263,7 @@
             return;
         }
         replica.reported_at = sent;
-        replica.limit.on_report(report.epoch, report.served);
+        replica.limit.on_report(sent, report.epoch, report.served);
         replica.reported = report.running;
         self.refresh(key);
     }
@@ -260,6 +276,19 @@
         }
     }
 
+    /// Takes the time to a first token at a replica.
+    pub(crate) fn on_first_token(&mut self, now: Time, key: &ReplicaKey, took: Duration) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.limit.on_first_token(now, took);
+        let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
+        pool.typical.on_first_token(took);
+        let typical_s = replica.typical_s(pool.typical);
+        replica.speed.on_first_token(now, took, typical_s);
+        self.refresh(key);
+    }
+
     /// Chooses a replica that serves and has room, and takes a place there.
     pub fn start(
         &mut self,
@@ -356,18 +385,19 @@
             self.is_usable(now, key) && !avoid.iter().any(|a| a.data_centre == key.data_centre)
         };
         let other = |key: &ReplicaKey| self.is_usable(now, key) && !avoid.contains(key);
-        if let Some(key) = self.choose_among(pool, prefix, elsewhere, rng) {
+        if let Some(key) = self.choose_among(now, pool, prefix, elsewhere, rng) {
             return Some(key);
         }
         // Without earlier failures the two conditions are the same.
         let failed = !avoid.is_empty();
         failed
-            .then(|| self.choose_among(pool, prefix, other, rng))
+            .then(|| self.choose_among(now, pool, prefix, other, rng))
             .flatten()
     }
 
     fn choose_among(
         &self,
+        now: Time,
         pool: &Pool,
         prefix: u64,
         usable: impl Fn(&ReplicaKey) -> bool,
@@ -395,7 +425,7 @@
         }
         let mut best: Option<(f64, &ReplicaKey)> = None;
         for key in candidates {
-            let cost = self.cost(key, cached.contains(&key), rng);
+            let cost = self.cost(now, pool, key, cached.contains(&key), rng);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, key));
             }
@@ -403,12 +433,19 @@
         best.map(|(_, key)| key.clone())
     }
 
-    fn cost(&self, key: &ReplicaKey, cached: bool, rng: &mut impl Rng) -> f64 {
+    fn cost(
+        &self,
+        now: Time,
+        pool: &Pool,
+        key: &ReplicaKey,
+        cached: bool,
+        rng: &mut impl Rng,
+    ) -> f64 {
         let Some(replica) = self.replicas.get(key) else {
             return f64::INFINITY;
         };
         match self.policy {
-            RouterPolicy::Affinity => replica.cost(cached),
+            RouterPolicy::Affinity => replica.cost(now, pool.typical, cached),
             RouterPolicy::LaggingReport => f64::from(replica.reported),
             RouterPolicy::Random => rng.random(),
         }
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -455,7 +455,7 @@
 
     fn check(&self) -> Result<(), String> {
         let mut truth = ReplicaLimit::new(self.limits);
-        truth.on_report(self.epoch, self.served);
+        truth.on_report(self.now, self.epoch, self.served);
         let (running, most) = (self.running.len(), truth.total() as usize);
         if running > most {
             return Err(format!(
