Count the time between tokens in the choice of a replica

Cause: a member that computes slowly can leave first tokens and probes as they were.

Ruled out: the load term (requests pile up there, but 8 callers on limits of 32 weigh too little); the limits (only first tokens reduce them).

Change: the daemon reports the time between tokens every 8 parts; the estimate is of the first token and the eight after it. Observations of both fade alike. The new stand-in fault slows only the parts after the first, as the harder case.

A replica that stays slow is avoided, not replaced.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -407,6 +407,13 @@
         }
     }
 
+    /// Takes the time between two tokens of a request's answer.
+    pub fn on_token_gap(&mut self, now: Time, id: RequestId, gap: Duration) {
+        if let Some(running) = self.running.get(&id) {
+            self.router.on_token_gap(now, &running.replica, gap);
+        }
+    }
+
     /// Takes the end of a started request; starts others in its place.
     pub fn finish(&mut self, now: Time, id: RequestId, outcome: Outcome) -> SmallVec<[Event; 2]> {
         if let Outcome::Answered(first_token) = outcome {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -4,7 +4,7 @@
 //! one more request of this entry. A choice looks at a few of them, so its
 //! cost does not grow with their number: the two that rendezvous order prefers
 //! for the request's prompt prefix, and a few at random. The cheapest wins, in
-//! estimated seconds to the first token. See `docs/decisions/0005-routing.md`.
+//! estimated seconds to the first tokens. See `docs/decisions/0005-routing.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -31,6 +31,8 @@
 const PREFIX_SAVING: f64 = 0.5;
 /// Share of the declared first-token time that is assumed at first.
 const UNOBSERVED: f64 = 0.25;
+/// Tokens after the first whose time counts in the choice of a replica.
+const HEAD_TOKENS: f64 = 8.0;
 
 /// Identity of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -142,24 +144,19 @@
         self.spec.in_service && self.in_flight < self.allowance(standing)
     }
 
-    /// Seconds to a first token that the workload's replicas take, or a part of
-    /// the target before any was observed.
-    fn typical_s(&self, typical: TypicalSpeed) -> f64 {
-        typical.first_token_s(self.spec.limits.target.as_secs_f64() * UNOBSERVED)
-    }
-
-    /// Estimated seconds until the first token of one more request.
-    fn cost(&self, now: Time, typical: TypicalSpeed, cached: bool) -> f64 {
-        let typical_s = self.typical_s(typical);
-        let base = self.speed.first_token_s(now, typical_s);
-        let saved = if cached { PREFIX_SAVING } else { 0.0 };
+    /// Estimated seconds until the first tokens of one more request.
+    fn cost(&self, now: Time, typical: &TypicalSpeed, cached: bool) -> f64 {
+        let first = self.speed.first_token_s(now, typical);
+        let next = self.speed.token_gap_s(now, typical) * HEAD_TOKENS;
+        let saved = if cached { PREFIX_SAVING * first } else { 0.0 };
         let load = f64::from(self.in_flight + 1) / f64::from(self.share().max(1));
-        base * (1.0 - saved + load) + 2.0 * self.spec.one_way_delay.as_secs_f64()
+        let way = 2.0 * self.spec.one_way_delay.as_secs_f64();
+        (first + next) * (1.0 + load) - saved + way
     }
 }
 
 /// The replicas of one workload.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Pool {
     typical: TypicalSpeed,
     open: BTreeMap<DataCentreName, Vec<ReplicaKey>>,
@@ -232,7 +229,10 @@
                     spec,
                 },
             };
-            let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
+            let workload = replica.spec.workload.clone();
+            let assumed = replica.spec.limits.target.mul_f64(UNOBSERVED);
+            let pool = self.pools.entry(workload);
+            let pool = pool.or_insert_with(|| Pool::new(assumed));
             for point in 0..RING_POINTS {
                 let name = key.to_string();
                 let hash = stable_hash([name.as_bytes(), &point.to_be_bytes()[..]]);
@@ -278,17 +278,27 @@
 
     /// Takes the time to a first token at a replica.
     pub(crate) fn on_first_token(&mut self, now: Time, key: &ReplicaKey, took: Duration) {
-        let Some(replica) = self.replicas.get_mut(key) else {
+        let Some((replica, pool)) = self.replica_mut(key) else {
             return;
         };
         replica.limit.on_first_token(now, took);
-        let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
-        pool.typical.on_first_token(took);
-        let typical_s = replica.typical_s(pool.typical);
-        replica.speed.on_first_token(now, took, typical_s);
+        replica.speed.on_first_token(now, took, &mut pool.typical);
         self.refresh(key);
     }
 
+    /// Takes the time between two tokens at a replica.
+    pub(crate) fn on_token_gap(&mut self, now: Time, key: &ReplicaKey, gap: Duration) {
+        if let Some((replica, pool)) = self.replica_mut(key) {
+            replica.speed.on_token_gap(now, gap, &mut pool.typical);
+        }
+    }
+
+    fn replica_mut(&mut self, key: &ReplicaKey) -> Option<(&mut Replica, &mut Pool)> {
+        let replica = self.replicas.get_mut(key)?;
+        let pool = self.pools.get_mut(&replica.spec.workload)?;
+        Some((replica, pool))
+    }
+
     /// Chooses a replica that serves and has room, and takes a place there.
     pub fn start(
         &mut self,
@@ -445,7 +455,7 @@
             return f64::INFINITY;
         };
         match self.policy {
-            RouterPolicy::Affinity => replica.cost(now, pool.typical, cached),
+            RouterPolicy::Affinity => replica.cost(now, &pool.typical, cached),
             RouterPolicy::LaggingReport => f64::from(replica.reported),
             RouterPolicy::Random => rng.random(),
         }
@@ -467,7 +477,9 @@
         if room == replica.slot.is_some() {
             return;
         }
-        let pool = self.pools.entry(replica.spec.workload.clone()).or_default();
+        let Some(pool) = self.pools.get_mut(&replica.spec.workload) else {
+            return;
+        };
         let open = pool.open.entry(key.data_centre.clone()).or_default();
         let Some(slot) = replica.slot.take() else {
             replica.slot = Some(open.len());
@@ -485,6 +497,14 @@
 }
 
 impl Pool {
+    fn new(first_token: Duration) -> Self {
+        Self {
+            typical: TypicalSpeed::new(first_token),
+            open: BTreeMap::new(),
+            ring: Vec::new(),
+        }
+    }
+
     /// Replicas in the ring's order from a prefix on.
     fn preferred(&self, prefix: u64) -> impl Iterator<Item = &ReplicaKey> {
         let start = self.ring.partition_point(|(hash, _)| *hash < prefix);
--- a/crates/core/src/speed.rs
+++ b/crates/core/src/speed.rs
@@ -15,62 +15,111 @@
 /// Weight of a new observation in the average over a workload's replicas.
 const TYPICAL_SMOOTHING: f64 = 0.02;
 /// Time after which half of an observed deviation has faded.
-const HALF_LIFE: Duration = Duration::from_secs(5);
+const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Share of the typical time that is assumed once observations have faded.
 const OPTIMISM: f64 = 0.5;
 
-/// Time to a first token that is typical of a workload's replicas.
-#[derive(Clone, Copy, Debug, Default)]
+/// Times that are typical of a workload's replicas, in seconds.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct TypicalSpeed {
-    first_token_s: Option<f64>,
+    first_token: Typical,
+    token_gap: Typical,
 }
 
 impl TypicalSpeed {
-    pub(crate) fn on_first_token(&mut self, took: Duration) {
-        let took = took.as_secs_f64();
-        let before = self.first_token_s.unwrap_or(took);
-        self.first_token_s = Some(before + TYPICAL_SMOOTHING * (took - before));
+    /// Assumes a time to the first token until one was observed.
+    pub(crate) const fn new(first_token: Duration) -> Self {
+        Self {
+            first_token: Typical::Assumed(first_token.as_secs_f64()),
+            token_gap: Typical::Assumed(0.0),
+        }
+    }
+}
+
+/// An average over all replicas of a workload, in seconds.
+#[derive(Clone, Copy, Debug)]
+enum Typical {
+    Assumed(f64),
+    Observed(f64),
+}
+
+impl Typical {
+    fn observe(&mut self, took_s: f64) {
+        *self = match *self {
+            Self::Assumed(_) => Self::Observed(took_s),
+            Self::Observed(before) => {
+                Self::Observed(before + TYPICAL_SMOOTHING * (took_s - before))
+            }
+        };
     }
 
-    /// Seconds to a first token, or `unknown` before anything was observed.
-    pub(crate) fn first_token_s(&self, unknown: f64) -> f64 {
-        self.first_token_s.unwrap_or(unknown)
+    const fn seconds(self) -> f64 {
+        match self {
+            Self::Assumed(seconds) | Self::Observed(seconds) => seconds,
+        }
     }
 }
 
-/// Time to a first token at one replica.
+/// Times of one replica.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ReplicaSpeed {
+    first_token: Estimate,
+    token_gap: Estimate,
+}
+
+impl ReplicaSpeed {
+    /// Takes one time to a first token.
+    pub(crate) fn on_first_token(&mut self, now: Time, took: Duration, typical: &mut TypicalSpeed) {
+        typical.first_token.observe(took.as_secs_f64());
+        self.first_token.observe(now, took, typical.first_token);
+    }
+
+    /// Takes one time between two tokens.
+    pub(crate) fn on_token_gap(&mut self, now: Time, gap: Duration, typical: &mut TypicalSpeed) {
+        typical.token_gap.observe(gap.as_secs_f64());
+        self.token_gap.observe(now, gap, typical.token_gap);
+    }
+
+    /// Estimated seconds to a first token.
+    pub(crate) fn first_token_s(&self, now: Time, typical: &TypicalSpeed) -> f64 {
+        self.first_token.seconds(now, typical.first_token)
+    }
+
+    /// Estimated seconds between two tokens.
+    pub(crate) fn token_gap_s(&self, now: Time, typical: &TypicalSpeed) -> f64 {
+        self.token_gap.seconds(now, typical.token_gap)
+    }
+}
+
+/// A moving average whose observations fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Estimate {
     observed: Option<Observed>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Observed {
     at: Time,
-    first_token_s: f64,
+    seconds: f64,
 }
 
-impl ReplicaSpeed {
-    /// Takes one time to a first token; it counts the more, the further the
-    /// earlier ones have faded.
-    pub(crate) fn on_first_token(&mut self, now: Time, took: Duration, typical_s: f64) {
+impl Estimate {
+    /// Takes an observation; it counts the more, the further the earlier ones
+    /// have faded.
+    fn observe(&mut self, now: Time, took: Duration, typical: Typical) {
         let left = self.observed.map_or(0.0, |o| o.left(now));
         let weight = SMOOTHING.max(1.0 - left);
-        let before = self.first_token_s(now, typical_s);
-        let first_token_s = before + weight * (took.as_secs_f64() - before);
-        self.observed = Some(Observed {
-            at: now,
-            first_token_s,
-        });
+        let before = self.seconds(now, typical);
+        let seconds = before + weight * (took.as_secs_f64() - before);
+        self.observed = Some(Observed { at: now, seconds });
     }
 
-    /// Estimated seconds to a first token, given what is typical.
-    pub(crate) fn first_token_s(&self, now: Time, typical_s: f64) -> f64 {
-        let assumed = typical_s * OPTIMISM;
+    fn seconds(&self, now: Time, typical: Typical) -> f64 {
+        let assumed = typical.seconds() * OPTIMISM;
         let Some(observed) = self.observed else {
             return assumed;
         };
-        assumed + (observed.first_token_s - assumed) * observed.left(now)
+        assumed + (observed.seconds - assumed) * observed.left(now)
     }
 }
 
--- a/crates/daemon/src/callers/run.rs
+++ b/crates/daemon/src/callers/run.rs
@@ -18,6 +18,8 @@
 const RESUMES: u32 = 2;
 /// Replicas that one request is tried at.
 const ATTEMPTS: usize = 3;
+/// Parts of an answer over which the time between tokens is measured.
+const GAP_PARTS: u32 = 8;
 
 /// An attempt at one replica; dropping it frees the replica's place.
 pub(super) struct Attempt {
@@ -77,6 +79,12 @@
             .on_first_token(now, self.id, took);
     }
 
+    /// Reports the replica's time between two tokens.
+    fn note_token_gap(&self, gap: Duration) {
+        let now = self.node.now();
+        self.node.core().dispatcher.on_token_gap(now, self.id, gap);
+    }
+
     /// Reports a whole answer.
     pub(super) fn answered(self) {
         let took = self.node.now().since(self.started);
@@ -216,6 +224,13 @@
     }
 }
 
+/// Where a measurement of the time between tokens began.
+#[derive(Clone, Copy)]
+struct GapStart {
+    at: Time,
+    parts: u32,
+}
+
 /// A completion on its way to the caller.
 pub(super) struct CompletionRun {
     node: Arc<Node>,
@@ -224,6 +239,7 @@
     first_token: Option<Duration>,
     attempts: Attempts,
     current: Option<(Attempt, AnswerStream)>,
+    gap_start: Option<GapStart>,
     next: u64,
     resumes: u32,
     ended: bool,
@@ -238,6 +254,7 @@
             first_token: None,
             attempts: Attempts::new(request),
             current: None,
+            gap_start: None,
             next: 0,
             resumes: 0,
             ended: false,
@@ -286,6 +303,7 @@
                         attempt.note_first_token();
                     }
                 }
+                self.measure_gap(now);
             }
             StreamEvent::End { .. } => {
                 self.ended = true;
@@ -301,7 +319,25 @@
         event
     }
 
+    /// Reports the time between tokens each time some more have come.
+    fn measure_gap(&mut self, now: Time) {
+        let Some(start) = &mut self.gap_start else {
+            self.gap_start = Some(GapStart { at: now, parts: 0 });
+            return;
+        };
+        start.parts += 1;
+        if start.parts < GAP_PARTS {
+            return;
+        }
+        let gap = now.since(start.at) / GAP_PARTS;
+        self.gap_start = Some(GapStart { at: now, parts: 0 });
+        if let Some((attempt, _)) = &self.current {
+            attempt.note_token_gap(gap);
+        }
+    }
+
     async fn start(&mut self) -> Result<(), Refusal> {
+        self.gap_start = None;
         let attempt = self.attempts.next(&self.node).await?;
         if !attempt.may_send() {
             return Err(self.attempts.refusal(Reason::Stale));
@@ -331,6 +367,7 @@
         let Some((attempt, _)) = self.current.take() else {
             return Ok(());
         };
+        self.gap_start = None;
         let id = self.attempts.request.id;
         if self.resumes < RESUMES {
             self.resumes += 1;
--- a/crates/oracle/tests/slow_replicas.rs
+++ b/crates/oracle/tests/slow_replicas.rs
@@ -31,6 +31,10 @@
 const FAST: Duration = Duration::from_millis(50);
 /// Time to the first token at a slow replica.
 const SLOW: Duration = Duration::from_secs(2);
+/// Time between two tokens at a sound replica.
+const TOKEN_GAP: Duration = Duration::from_millis(20);
+/// Time between two tokens at a slow replica.
+const SLOW_TOKEN_GAP: Duration = Duration::from_millis(400);
 /// Time between two requests.
 const PERIOD: Duration = Duration::from_millis(10);
 /// The replica that is slow for a while.
@@ -92,6 +96,20 @@
         }
         there
     }
+
+    /// The same, with the time between tokens that the odd replica takes.
+    fn serve_tokens(&mut self, requests: usize, odd: Duration) -> usize {
+        let mut there = 0;
+        for _ in 0..requests {
+            let (id, number) = self.send();
+            let gap = if number == ODD { odd } else { TOKEN_GAP };
+            there += usize::from(number == ODD);
+            self.dispatcher.on_token_gap(self.now, id, gap);
+            self.dispatcher
+                .finish(self.now, id, Outcome::Answered(FAST));
+        }
+        there
+    }
 }
 
 #[test]
@@ -126,3 +144,15 @@
     // Its share while a first token may still come, of 2 s without one.
     assert!(stuck <= 12, "{stuck} requests at a replica without answers");
 }
+
+#[test]
+fn a_replica_with_slow_tokens_gets_few_requests_and_its_share_again() {
+    let mut world = World::new();
+    let fair = 1_000 / REPLICAS as usize;
+    world.serve_tokens(1_000, TOKEN_GAP);
+    let slow = world.serve_tokens(1_000, SLOW_TOKEN_GAP);
+    assert!(slow < fair / 10, "{slow} of 1000 at a slow replica");
+    world.serve_tokens(6_000, TOKEN_GAP);
+    let after = world.serve_tokens(1_000, TOKEN_GAP);
+    assert!(after > fair / 2, "{after} of 1000 at a sound replica");
+}
--- a/crates/standin/src/endpoint/farm.rs
+++ b/crates/standin/src/endpoint/farm.rs
@@ -31,6 +31,9 @@
     pub first_port: u16,
 }
 
+/// Times that the parts of a slow endpoint's answers take longer.
+const SLOWDOWN: u32 = 30;
+
 /// A fault of one VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,6 +48,9 @@
     Silence,
     /// The endpoint turns cold without an announcement.
     TurnCold,
+    /// The parts of answers after the first come many times slower until
+    /// [`VmFault::Return`]; everything else is as before.
+    SlowTokens,
     /// The platform lists the VM as leaving.
     Leave,
     /// The VM works again.
@@ -159,9 +165,11 @@
                 }
             }
             VmFault::TurnCold => self.vm.turn_cold(),
+            VmFault::SlowTokens => self.vm.set_slowdown(SLOWDOWN),
             VmFault::Leave => self.set_leaving(true),
             VmFault::Return => {
                 self.set_leaving(false);
+                self.vm.set_slowdown(1);
                 self.set_mode(RelayMode::Open);
             }
         }
--- a/crates/standin/src/endpoint/vm.rs
+++ b/crates/standin/src/endpoint/vm.rs
@@ -59,6 +59,7 @@
     ledger: Arc<Ledger>,
     inner: Mutex<Inner>,
     running: AtomicU32,
+    slowdown: AtomicU32,
     /// Changes with each crash; connections of earlier runs are cut.
     epoch: watch::Sender<u64>,
 }
@@ -77,6 +78,7 @@
             ledger,
             inner: Mutex::new(inner),
             running: AtomicU32::new(0),
+            slowdown: AtomicU32::new(1),
             epoch: watch::Sender::new(1),
         })
     }
@@ -123,6 +125,11 @@
         self.inner().status.served = 0;
     }
 
+    /// Sets how many times longer the parts after the first take.
+    pub(super) fn set_slowdown(&self, times: u32) {
+        self.slowdown.store(times, Ordering::Relaxed);
+    }
+
     pub(super) fn order(self: &Arc<Self>, order: &Order) -> OrderReply {
         let mut inner = self.inner();
         match obey(&mut inner.status, order, self.settings.fencing) {
@@ -226,7 +233,8 @@
                 return;
             }
             sender.send_replace(Produced::Parts(produced));
-            wait = self.pace(self.settings.part);
+            let slowdown = self.slowdown.load(Ordering::Relaxed);
+            wait = self.pace(self.settings.part) * slowdown;
         }
         self.leave(epoch);
         tokio::time::sleep(Duration::from_secs(30)).await;
--- a/crates/standin/tests/faults/endpoints.rs
+++ b/crates/standin/tests/faults/endpoints.rs
@@ -260,6 +260,62 @@
     assert!(after <= before, "{} new requests", after - before);
 }
 
+/// Time for which callers go on while one endpoint is slow.
+const SLOW_FOR: Duration = Duration::from_secs(12);
+/// Time after which an endpoint that is fast again has its share of requests.
+const FAST_AGAIN_WITHIN: Duration = Duration::from_secs(12);
+/// Share of the answers that may take longer than the target.
+const LATE_SHARE: f64 = 0.05;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_with_slow_tokens_that_answers_probes_makes_few_answers_late() {
+    let world = Arc::new(World::start(2, FarmSettings::default()).await);
+    let leader = world.bench_leader();
+    // The replicas are warm before one turns slow.
+    let warm = call_for(&world, Duration::from_secs(4)).await;
+    assert!(warm.len() > 100, "{} answers", warm.len());
+    world.local.fault(&leader, VmFault::SlowTokens);
+    let times = call_for(&world, SLOW_FOR).await;
+    // A sound endpoint takes 40 ms to the first of 16 parts and 10 ms between them.
+    let target = Duration::from_millis(1_300);
+    let late = times.iter().filter(|t| **t > target).count();
+    let most = (LATE_SHARE * times.len() as f64) as usize;
+    assert!(late <= most, "{late} of {} were late", times.len());
+    world.local.fault(&leader, VmFault::Return);
+    tokio::time::sleep(FAST_AGAIN_WITHIN).await;
+    let before = world.status(&leader).served;
+    let all = call_for(&world, Duration::from_secs(4)).await.len() as u64;
+    let there = world.status(&leader).served - before;
+    assert!(there > all / 4, "{there} of {all} at the endpoint");
+}
+
+/// Lets eight callers ask one after another; returns what each answer took.
+async fn call_for(world: &Arc<World>, span: Duration) -> Vec<Duration> {
+    let until = Instant::now() + span;
+    let mut callers = JoinSet::new();
+    for caller in 0..8 {
+        let world = Arc::clone(world);
+        callers.spawn(async move {
+            let mut times = Vec::new();
+            while Instant::now() < until {
+                let start = Instant::now();
+                let number = times.len();
+                let body = format!(r#"{{"model":"bench","messages":["{caller}-{number}"]}}"#);
+                let response = world.complete(caller, &body).await;
+                assert_eq!(response.status(), 200);
+                response.text().await.expect("the answer ends");
+                times.push(start.elapsed());
+            }
+            times
+        });
+    }
+    let mut times = Vec::new();
+    while let Some(done) = callers.join_next().await {
+        times.extend(done.expect("no caller fails"));
+    }
+    times
+}
+
 /// Time within which every entry knows that an endpoint turned cold: two
 /// periods of probes, one by the prober and one by those who ask it, and the
 /// longest run of the requests from before.
