--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -6,7 +6,10 @@
 //! for the request's prompt prefix, and a few at random. The cheapest wins, in
 //! estimated seconds to the first tokens. See `docs/decisions/0005-routing.md`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod pool;
+mod replica;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,10 +17,14 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use pool::Pool;
+use replica::Replica;
+pub(crate) use replica::ReplicaSpec;
+pub use replica::Standing;
+
 use crate::allocation::GroupNumber;
-use crate::ids::{DataCentreName, VmName, WorkloadName, stable_hash};
-use crate::limit::{LimitSettings, ReplicaLimit, share_of};
-use crate::speed::{ReplicaSpeed, TypicalSpeed};
+use crate::ids::{DataCentreName, VmName, WorkloadName};
+use crate::limit::ReplicaLimit;
 use crate::time::Time;
 use crate::vm::LoadReport;
 
@@ -25,14 +32,8 @@
 const PREFIX_SAMPLES: usize = 2;
 /// Replicas looked at at random in each data centre.
 const RANDOM_SAMPLES: usize = 3;
-/// Points of each replica on the ring that maps prefixes to replicas.
-const RING_POINTS: u64 = 8;
-/// Share of the first-token time that a cached prefix is assumed to save.
-const PREFIX_SAVING: f64 = 0.5;
 /// Share of the declared first-token time that is assumed at first.
 const UNOBSERVED: f64 = 0.25;
-/// Tokens after the first whose time counts in the choice of a replica.
-const HEAD_TOKENS: f64 = 8.0;
 
 /// Identity of a replica.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -62,43 +63,6 @@
     Random,
 }
 
-/// How far the other entries have made room for this one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// Some may not know of this entry: it uses no replica.
-    Joining,
-    /// All know, but some have requests in flight beyond their new shares at
-    /// these replicas, which this entry does not use yet.
-    Newcomer(BTreeSet<ReplicaKey>),
-    /// All keep to their shares.
-    Settled,
-}
-
-impl Standing {
-    /// Whether an entry of this standing may use a replica.
-    fn admits(&self, key: &ReplicaKey) -> bool {
-        match self {
-            Self::Joining => false,
-            Self::Newcomer(crowded) => !crowded.contains(key),
-            Self::Settled => true,
-        }
-    }
-}
-
-/// What the router has to know of a replica.
-#[derive(Clone, Debug)]
-pub(crate) struct ReplicaSpec {
-    pub(crate) key: ReplicaKey,
-    pub(crate) workload: WorkloadName,
-    pub(crate) leader: VmName,
-    pub(crate) address: SocketAddr,
-    pub(crate) rank: u32,
-    pub(crate) entries: u32,
-    pub(crate) in_service: bool,
-    pub(crate) one_way_delay: Duration,
-    pub(crate) limits: LimitSettings,
-}
-
 /// A chosen replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -110,59 +74,6 @@
     pub address: SocketAddr,
 }
 
-#[derive(Debug)]
-struct Replica {
-    spec: ReplicaSpec,
-    limit: ReplicaLimit,
-    speed: ReplicaSpeed,
-    in_flight: u32,
-    reported: u32,
-    reported_at: Time,
-    serving_until: Time,
-    slot: Option<usize>,
-}
-
-impl Replica {
-    /// Requests that this entry may have in flight here once it is settled.
-    fn share(&self) -> u32 {
-        share_of(self.limit.total(), self.spec.rank, self.spec.entries)
-    }
-
-    /// Requests that this entry may have in flight here.
-    fn allowance(&self, standing: &Standing) -> u32 {
-        match standing.admits(&self.spec.key) {
-            true => self.share(),
-            false => 0,
-        }
-    }
-
-    fn is_serving(&self, now: Time) -> bool {
-        self.spec.in_service && now < self.serving_until
-    }
-
-    fn has_room(&self, standing: &Standing) -> bool {
-        self.spec.in_service && self.in_flight < self.allowance(standing)
-    }
-
-    /// Estimated seconds until the first tokens of one more request.
-    fn cost(&self, now: Time, typical: &TypicalSpeed, cached: bool) -> f64 {
-        let first = self.speed.first_token_s(now, typical);
-        let next = self.speed.token_gap_s(now, typical) * HEAD_TOKENS;
-        let saved = if cached { PREFIX_SAVING * first } else { 0.0 };
-        let load = f64::from(self.in_flight + 1) / f64::from(self.share().max(1));
-        let way = 2.0 * self.spec.one_way_delay.as_secs_f64();
-        (first + next) * (1.0 + load) - saved + way
-    }
-}
-
-/// The replicas of one workload.
-#[derive(Debug)]
-struct Pool {
-    typical: TypicalSpeed,
-    open: BTreeMap<DataCentreName, Vec<ReplicaKey>>,
-    ring: Vec<(u64, ReplicaKey)>,
-}
-
 /// The replicas that this entry may use.
 #[derive(Debug)]
 pub struct Router {
@@ -199,52 +110,21 @@
     /// Replaces the set of replicas; what is known of those that stay is kept.
     pub(crate) fn set_replicas(&mut self, specs: Vec<ReplicaSpec>) {
         let mut before = std::mem::take(&mut self.replicas);
-        for pool in self.pools.values_mut() {
-            pool.open.clear();
-            pool.ring.clear();
-        }
+        self.pools.values_mut().for_each(Pool::clear);
         for spec in specs {
             let key = spec.key.clone();
             let replica = match before.remove(&key) {
-                Some(known) if known.spec.leader == spec.leader => {
-                    let limit = match known.spec.limits == spec.limits {
-                        true => known.limit,
-                        false => ReplicaLimit::new(spec.limits),
-                    };
-                    Replica {
-                        spec,
-                        limit,
-                        slot: None,
-                        ..known
-                    }
-                }
-                other => Replica {
-                    limit: ReplicaLimit::new(spec.limits),
-                    speed: ReplicaSpeed::default(),
-                    in_flight: other.map_or(0, |o| o.in_flight),
-                    reported: 0,
-                    reported_at: Time::ZERO,
-                    serving_until: Time::ZERO,
-                    slot: None,
-                    spec,
-                },
+                Some(known) if known.spec.leader == spec.leader => known.with_spec(spec),
+                other => Replica::new(spec, other.map_or(0, |o| o.in_flight)),
             };
-            let workload = replica.spec.workload.clone();
             let assumed = replica.spec.limits.target.mul_f64(UNOBSERVED);
-            let pool = self.pools.entry(workload);
-            let pool = pool.or_insert_with(|| Pool::new(assumed));
-            for point in 0..RING_POINTS {
-                let name = key.to_string();
-                let hash = stable_hash([name.as_bytes(), &point.to_be_bytes()[..]]);
-                pool.ring.push((hash, key.clone()));
-            }
+            let pool = self.pools.entry(replica.spec.workload.clone());
+            pool.or_insert_with(|| Pool::new(assumed)).add(&key);
             self.replicas.insert(key.clone(), replica);
             self.refresh(&key);
         }
-        self.pools.retain(|_, pool| !pool.ring.is_empty());
-        for pool in self.pools.values_mut() {
-            pool.ring.sort_unstable();
-        }
+        self.pools.retain(|_, pool| !pool.is_empty());
+        self.pools.values_mut().for_each(Pool::sort);
     }
 
     /// Sets until when a replica may take work.
@@ -480,14 +360,11 @@
         let Some(pool) = self.pools.get_mut(&replica.spec.workload) else {
             return;
         };
-        let open = pool.open.entry(key.data_centre.clone()).or_default();
         let Some(slot) = replica.slot.take() else {
-            replica.slot = Some(open.len());
-            open.push(key.clone());
+            replica.slot = Some(pool.open(key));
             return;
         };
-        open.swap_remove(slot);
-        let Some(moved) = open.get(slot).cloned() else {
+        let Some(moved) = pool.close(key, slot) else {
             return;
         };
         if let Some(other) = self.replicas.get_mut(&moved) {
@@ -495,22 +372,3 @@
         }
     }
 }
-
-impl Pool {
-    fn new(first_token: Duration) -> Self {
-        Self {
-            typical: TypicalSpeed::new(first_token),
-            open: BTreeMap::new(),
-            ring: Vec::new(),
-        }
-    }
-
-    /// Replicas in the ring's order from a prefix on.
-    fn preferred(&self, prefix: u64) -> impl Iterator<Item = &ReplicaKey> {
-        let start = self.ring.partition_point(|(hash, _)| *hash < prefix);
-        self.ring[start..]
-            .iter()
-            .chain(&self.ring[..start])
-            .map(|(_, key)| key)
-    }
-}
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -5,14 +5,15 @@
 //! bound ago; and once faults end, every declared replica serves again.
 
 mod actions;
+mod check;
+mod pulls;
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use bulrushhoist_core::{
     Allocation, Deployment, EvidenceBook, Fencing, FencingNumber, Group, Incarnation, Lease,
     LeaseSettings, LeaseStep, LeaseWatch, Member, MemberId, Order, PlacementSettings, Plan,
-    Planner, RelayedEvidence, ReplicaKey, Situation, Time, VmName, VmPhase, VmRecord, VmStatus,
+    Planner, ReplicaKey, Situation, Time, VmName, VmPhase, VmRecord, VmStatus,
 };
 use proptest::sample::Index;
 
@@ -347,33 +348,6 @@
         }
     }
 
-    fn serve_pull(&mut self) {
-        let mut findings = Vec::new();
-        for group in &self.allocation.groups {
-            if let Ok(until) = self.entry.serving_until(self.now, group) {
-                let age = (self.now + EVIDENCE).since(until);
-                findings.push((self.key(group), group.composition, age));
-            }
-        }
-        if let Some(pull) = self.pulls.iter_mut().find(|p| p.findings.is_none()) {
-            pull.findings = Some(findings);
-        }
-    }
-
-    fn arrive_pull(&mut self) {
-        let Some(at) = self.pulls.iter().position(|p| p.findings.is_some()) else {
-            return;
-        };
-        let pull = self.pulls.swap_remove(at);
-        for (key, composition, age) in pull.findings.unwrap_or_default() {
-            let evidence = RelayedEvidence {
-                composition,
-                dated: pull.sent - age,
-            };
-            self.second.record_relayed(&key, evidence);
-        }
-    }
-
     fn renew_lease(&mut self, at: usize) {
         if !self.up {
             return;
@@ -465,88 +439,4 @@
             vm.loaded_at = self.now;
         }
     }
-
-    fn check(&self) -> Result<(), String> {
-        if let Some(vm) = self.allocation.doubly_held() {
-            return Err(format!("{vm} is held twice"));
-        }
-        let by_name: HashMap<&VmName, &Vm> = self.vms.iter().map(|v| (&v.record.vm, v)).collect();
-        for group in &self.allocation.groups {
-            let second = self
-                .second
-                .serving_until_shared(self.now, &self.key(group), group);
-            if self.entry.serving_until(self.now, group).is_err() && second.is_err() {
-                continue;
-            }
-            for (rank, member) in (0u32..).zip(&group.members) {
-                let vm = by_name[&member.vm];
-                if self.now.since(vm.last_up) >= EVIDENCE {
-                    return Err(format!(
-                        "{} serves while {} is gone",
-                        group.number, member.vm
-                    ));
-                }
-                let agreed = vm.history.iter().rev().any(|(at, status)| {
-                    self.now.since(*at) < EVIDENCE
-                        && status.group == Some(group.number)
-                        && status.composition == group.composition
-                        && status.rank == rank
-                        && status.phase == VmPhase::Ready
-                });
-                if !agreed {
-                    return Err(format!(
-                        "{} serves without word of {}",
-                        group.number, member.vm
-                    ));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Ends every fault and runs one controller regularly; an error says what
-    /// has not recovered in time.
-    pub fn recover(&mut self) -> Result<(), String> {
-        self.up = true;
-        self.late_writes.clear();
-        for vm in &mut self.vms {
-            vm.power = Power::Up;
-            vm.last_up = self.now;
-            vm.record.leaving = false;
-        }
-        for controller in &mut self.controllers {
-            controller.partitioned = false;
-        }
-        let until = self.now + RECOVERY;
-        while self.now < until {
-            self.round();
-            self.check()?;
-        }
-        let serving = self.serving();
-        if serving == REPLICAS {
-            Ok(())
-        } else {
-            Err(format!("{serving} of {REPLICAS} serve"))
-        }
-    }
-
-    /// Returns how often a group got another composition.
-    #[must_use]
-    pub fn swaps(&self) -> usize {
-        self.swaps
-    }
-
-    /// Returns the groups that both entries may send to.
-    #[must_use]
-    pub fn serving(&self) -> usize {
-        let groups = self.allocation.groups.iter();
-        let both = |g: &&Group| {
-            self.entry.serving_until(self.now, g).is_ok()
-                && self
-                    .second
-                    .serving_until_shared(self.now, &self.key(g), g)
-                    .is_ok()
-        };
-        groups.filter(both).count()
-    }
 }
