Prove that a fresh daemon passes requests on beside a vanished one

Cause: with the statements of others, a daemon that vanished without deregistering holds a fresh one back for 30 s; that it answers callers meanwhile was not run. Test: kill 1 of 3, start a fresh one, ask it.

--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -356,6 +356,27 @@
     panic!("no daemon tells entries")
 }
 
+/// Time within which a fresh daemon answers although another one vanished. It
+/// waits 30 s for that one before it uses any replica itself.
+const PASSED_ON_WITHIN: Duration = Duration::from_secs(15);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_joins_beside_a_vanished_one_passes_requests_on() {
+    let deployment = Deployment::start(3).await;
+    deployment.daemons[0].process.signal("KILL");
+    let fresh = DaemonProcess::start(deployment.platform, "east");
+    let start = Instant::now();
+    let body = r#"{"model":"bench","max_tokens":4,"messages":["passed on"]}"#;
+    eventually("the fresh daemon answers", async || {
+        let url = format!("http://{}/v1/chat/completions", fresh.caller);
+        let call = deployment.client.post(url).bearer_auth(TOKEN).body(body);
+        let answer = call.send().await.ok()?;
+        (answer.status() == 200).then_some(())
+    })
+    .await;
+    assert!(start.elapsed() < PASSED_ON_WITHIN, "{:?}", start.elapsed());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_was_paused_takes_no_work_on_its_old_view() {
     let deployment = Deployment::start(3).await;
