Measure a small team beside a flood, and slow members, through the daemons

Cause: both were open; fairness was tested in the queue alone. No code changes but the load tool's help, which now names the fault.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -26,7 +26,7 @@
   --platform ADDRESS    the platform, for faults and data centres
   --operator ADDRESS    a daemon's operator address, to measure group downtime
   --fault S,KIND,TARGET at second S; KIND is crash, die, freeze, silence,
-                        turn_cold, leave or return for the VMs whose names begin
+                        turn_cold, slow_tokens, leave or return for VMs whose names begin
                         with TARGET, out or in for a data centre, platform-down
                         or platform-up; may be repeated
   --no-repeats          callers do not repeat requests that were not run
