Keep the shares of crashed processes until their requests have ended

Cause: a process started at the address of one that crashed dropped the earlier record at once. Engines go on with streams whose connection is lost, so that they can be resumed; the others moved up in the ranking and the fresh process took a share while those requests ran: 4 on an endpoint that carries 3.

Ruled out: letting only the fresh process wait (the others' shares grow too); forgetting the earlier one when its successor leaves (the fuzz run found Register, Send, Crash, Leave, Register, Send).

Change: the register keeps replaced processes as `vanished`, with their shares, until a daemon has seen them there for 30 s. They make no statement, so entries that join meanwhile pass requests on. The cold world draws crashes; other weights rose fourfold so that runs still settle newcomers.

A crash of all entries together costs 30 s of service; docs/decisions/0004-limits.md names what would shorten it.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -190,7 +190,7 @@
             data_centre: view.data_centre.clone(),
             number: view.group.number,
         };
-        let ranked = register.ranked(&key.to_string());
+        let ranked = register.ranked_sharers(&key.to_string());
         let entries = ranked.len().min(self.settings.spread);
         let rank = ranked.iter().take(entries).position(|id| *id == self.own)?;
         let one_way_delay = match view.data_centre == home {
@@ -228,7 +228,7 @@
         key: &ReplicaKey,
         total: u32,
     ) -> impl Iterator<Item = (MemberId, u32)> + use<'a> {
-        let ranked = register.ranked(&key.to_string());
+        let ranked = register.ranked_sharers(&key.to_string());
         let entries = ranked.len().min(self.settings.spread);
         let count = u32::try_from(entries).unwrap_or(u32::MAX);
         let ranked = (0u32..).zip(ranked).take(entries);
--- a/crates/core/src/register.rs
+++ b/crates/core/src/register.rs
@@ -49,6 +49,11 @@
 pub struct Register {
     /// Registered daemons in ascending order of identity.
     pub daemons: Vec<RegisteredDaemon>,
+    /// Processes that ended without leaving and were replaced at their address.
+    /// What they sent to endpoints may still run, so they keep their shares of
+    /// replicas for a while.
+    #[serde(default)]
+    pub vanished: Vec<MemberId>,
 }
 
 impl Register {
@@ -62,29 +67,48 @@
     /// Adds a daemon or replaces its record.
     ///
     /// A record with the same caller address is of an earlier process on the
-    /// same VM, which cannot run any more, and is dropped.
+    /// same VM, which cannot run any more, but its requests can.
     pub fn insert(&mut self, daemon: RegisteredDaemon) {
+        let earlier = self
+            .daemons
+            .iter()
+            .filter(|d| d.id != daemon.id && d.caller == daemon.caller);
+        self.vanished.extend(earlier.map(|d| d.id));
         self.daemons
             .retain(|d| d.id != daemon.id && d.caller != daemon.caller);
         let at = self.daemons.partition_point(|d| d.id < daemon.id);
         self.daemons.insert(at, daemon);
     }
 
-    /// Removes a daemon; returns whether it was there.
+    /// Removes a daemon that has left, or vanished long ago; returns whether
+    /// it was there.
     pub fn remove(&mut self, id: MemberId) -> bool {
         let before = self.daemons.len();
         self.daemons.retain(|d| d.id != id);
         self.daemons.len() != before
     }
 
+    /// Frees the shares of a vanished process, whose requests have ended.
+    pub fn forget_vanished(&mut self, id: MemberId) {
+        self.vanished.retain(|v| *v != id);
+    }
+
+    /// Returns everybody who has shares of replicas, vanished ones included.
+    pub fn sharers(&self) -> impl Iterator<Item = MemberId> {
+        let daemons = self.daemons.iter().map(|d| d.id);
+        daemons.chain(self.vanished.iter().copied())
+    }
+
+    /// Ranks those who have shares of a replica, best first.
+    #[must_use]
+    pub fn ranked_sharers(&self, replica: &str) -> Vec<MemberId> {
+        ranked(self.sharers().collect(), replica)
+    }
+
     /// Ranks the daemons for `subject` by rendezvous hashing, best first.
     #[must_use]
     pub fn ranked(&self, subject: &str) -> Vec<MemberId> {
-        let mut ranked: Vec<_> = self.daemons.iter().map(|d| d.id).collect();
-        ranked.sort_by_cached_key(|id| {
-            stable_hash([subject.as_bytes(), &id.get().to_be_bytes()[..]])
-        });
-        ranked
+        ranked(self.daemons.iter().map(|d| d.id).collect(), subject)
     }
 
     /// Returns the daemons whose majority decides freshness, at most `size`.
@@ -95,3 +119,9 @@
         ranked
     }
 }
+
+/// Orders members by rendezvous hashing.
+fn ranked(mut members: Vec<MemberId>, subject: &str) -> Vec<MemberId> {
+    members.sort_by_cached_key(|id| stable_hash([subject.as_bytes(), &id.get().to_be_bytes()[..]]));
+    members
+}
--- a/crates/daemon/src/controllers/register.rs
+++ b/crates/daemon/src/controllers/register.rs
@@ -1,9 +1,10 @@
 //! Joins and leaves the register, and removes daemons that vanished.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushhoist_core::{DaemonPhase, MemberId, Newcomer, ObjectKey, ProbeTarget, Register};
+use bulrushhoist_core::{DaemonPhase, MemberId, Newcomer, ObjectKey, ProbeTarget, Register, Time};
 use bulrushhoist_platform::StoreError;
 use slog::{info, warn};
 
@@ -76,26 +77,26 @@
         if unheard.is_empty() {
             return;
         }
-        for target in unheard {
+        for target in unheard.into_iter().filter_map(|id| peer(node, id)) {
             tokio::spawn(reports::pull(Arc::clone(node), target));
         }
         tokio::time::sleep(ASK_PERIOD).await;
     }
 }
 
-fn unheard(node: &Node) -> Vec<ProbeTarget> {
+fn unheard(node: &Node) -> Vec<MemberId> {
     let view = node.view();
     let core = node.core();
     let Some(newcomer) = &core.newcomer else {
         return Vec::new();
     };
-    let others = view.register.daemons.iter().map(|d| d.id);
-    let unheard = newcomer.unheard(others.filter(|id| *id != node.id));
-    let target = |member| {
-        let address = view.register.get(member)?.peer;
-        Some(ProbeTarget { member, address })
-    };
-    unheard.into_iter().filter_map(target).collect()
+    newcomer.unheard(view.register.sharers().filter(|id| *id != node.id))
+}
+
+/// Returns a daemon's address; one that vanished has none.
+fn peer(node: &Node, member: MemberId) -> Option<ProbeTarget> {
+    let address = node.view().register.get(member)?.peer;
+    Some(ProbeTarget { member, address })
 }
 
 /// Changes this daemon's phase in the register.
@@ -131,26 +132,50 @@
 }
 
 /// Removes daemons that have been dead for long, one at a time, so that
-/// majorities before and after each removal share a member.
+/// majorities before and after each removal share a member; and frees the
+/// shares of those that were replaced at their address.
 pub(super) async fn run(node: Arc<Node>) {
+    let mut seen = HashMap::new();
     loop {
         tokio::time::sleep(REMOVAL_PERIOD).await;
-        let dead = {
-            let core = node.core();
-            core.membership
-                .dead_for(node.now(), node.settings.timing.removal)
-        };
-        let Some(member) = dead.first().copied() else {
-            continue;
-        };
-        if !is_remover(&node, member) {
+        remove_dead(&node).await;
+        forget_vanished(&node, &mut seen).await;
+    }
+}
+
+async fn remove_dead(node: &Node) {
+    let dead = {
+        let core = node.core();
+        core.membership
+            .dead_for(node.now(), node.settings.timing.removal)
+    };
+    let Some(member) = dead.first().copied() else {
+        return;
+    };
+    if !is_remover(node, member) {
+        return;
+    }
+    let removed = update(node, |register| {
+        register.remove(member);
+    });
+    if removed.await.is_ok() {
+        info!(node.log, "removed a daemon that vanished"; "member" => %member);
+    }
+}
+
+/// Frees the shares of vanished processes that this daemon has seen in the
+/// register for as long as requests may outlive them.
+async fn forget_vanished(node: &Node, seen: &mut HashMap<MemberId, Time>) {
+    let (now, vanished) = (node.now(), node.view().register.vanished.clone());
+    seen.retain(|id, _| vanished.contains(id));
+    for id in vanished {
+        let first = *seen.entry(id).or_insert(now);
+        if now.since(first) < SETTLE || !is_remover(node, id) {
             continue;
         }
-        let removed = update(&node, |register| {
-            register.remove(member);
-        });
-        if removed.await.is_ok() {
-            info!(node.log, "removed a daemon that vanished"; "member" => %member);
+        let freed = update(node, |register| register.forget_vanished(id));
+        if freed.await.is_ok() {
+            info!(node.log, "freed the shares of a daemon that vanished"; "member" => %id);
         }
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -256,8 +256,8 @@
             return;
         };
         let view = self.view.load();
-        let others = view.register.daemons.iter().map(|d| d.id);
-        let standing = newcomer.standing(others.filter(|id| *id != self.id));
+        let others = view.register.sharers().filter(|id| *id != self.id);
+        let standing = newcomer.standing(others);
         if standing == Standing::Settled {
             core.newcomer = None;
         }
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -6,6 +6,7 @@
 //! work knows the register of at most the freshness bound ago, as the
 //! freshness rule provides.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bulrushhoist_core::{
@@ -60,6 +61,9 @@
     Register,
     /// An entry that drained deregisters.
     Leave(usize),
+    /// An entry's process ends, and a fresh one registers at its address. What
+    /// the endpoint runs for the old one goes on.
+    Crash(usize),
     /// An entry learns the newest register.
     Learn(usize),
     /// Callers send some requests to an entry.
@@ -80,22 +84,24 @@
 pub fn cold_actions() -> impl Strategy<Value = Vec<ColdAction>> {
     let index = || 0..PICKS;
     let action = prop_oneof![
-        4 => (1_u64..2_000).prop_map(ColdAction::Advance),
-        2 => Just(ColdAction::Register),
-        1 => index().prop_map(ColdAction::Leave),
-        4 => index().prop_map(ColdAction::Learn),
-        8 => (index(), 1_u8..12).prop_map(|(i, n)| ColdAction::Send(i, n)),
-        6 => index().prop_map(ColdAction::End),
-        8 => index().prop_map(ColdAction::Probe),
-        4 => index().prop_map(ColdAction::Ask),
-        16 => index().prop_map(ColdAction::Answer),
-        1 => Just(ColdAction::Restart),
+        16 => (1_u64..2_000).prop_map(ColdAction::Advance),
+        8 => Just(ColdAction::Register),
+        4 => index().prop_map(ColdAction::Leave),
+        1 => index().prop_map(ColdAction::Crash),
+        16 => index().prop_map(ColdAction::Learn),
+        32 => (index(), 1_u8..12).prop_map(|(i, n)| ColdAction::Send(i, n)),
+        24 => index().prop_map(ColdAction::End),
+        32 => index().prop_map(ColdAction::Probe),
+        32 => index().prop_map(ColdAction::Ask),
+        128 => index().prop_map(ColdAction::Answer),
+        4 => Just(ColdAction::Restart),
     ];
     vec(action, 1..300)
 }
 
 struct Entry {
     id: MemberId,
+    caller: SocketAddr,
     dispatcher: Dispatcher,
     known: u64,
     registered: Time,
@@ -126,6 +132,7 @@
     registers: Vec<(Time, Register)>,
     running: Vec<Running>,
     transits: Vec<Transit>,
+    vanished: Vec<(MemberId, Time)>,
     limits: LimitSettings,
     epoch: u64,
     served: u64,
@@ -160,6 +167,7 @@
             registers: vec![(Time::ZERO, Register::default())],
             running: Vec::new(),
             transits: Vec::new(),
+            vanished: Vec::new(),
             limits,
             epoch: 1,
             served: 0,
@@ -179,8 +187,13 @@
     pub fn step(&mut self, action: &ColdAction) -> Result<(), String> {
         match action {
             ColdAction::Advance(ms) => self.advance(Duration::from_millis(*ms)),
-            ColdAction::Register => self.register(),
+            ColdAction::Register => {
+                if self.entries.len() < ENTRIES_MAX {
+                    self.register(None);
+                }
+            }
             ColdAction::Leave(at) => self.leave(*at),
+            ColdAction::Crash(at) => self.crash(*at),
             ColdAction::Learn(at) => {
                 if let Some(at) = pick(*at, self.entries.len()) {
                     self.learn(at);
@@ -228,6 +241,7 @@
             let id = entry.id;
             self.note_started(id, &events);
         }
+        self.forget_vanished();
         while let Some(at) = self
             .running
             .iter()
@@ -256,6 +270,19 @@
         }
     }
 
+    /// What processes sent that vanished long ago has ended.
+    fn forget_vanished(&mut self) {
+        let now = self.now;
+        let long_ago = |at: &Time| now.since(*at) >= SETTLE;
+        let Some(at) = self.vanished.iter().position(|(_, at)| long_ago(at)) else {
+            return;
+        };
+        let (id, _) = self.vanished.swap_remove(at);
+        let mut register = self.newest().clone();
+        register.forget_vanished(id);
+        self.registers.push((self.now, register));
+    }
+
     /// After the longest run of a request no statement is needed.
     fn settle(&mut self, at: usize) {
         let entry = &mut self.entries[at];
@@ -298,8 +325,8 @@
             return;
         };
         let register = &self.registers[entry.known as usize].1;
-        let others = register.daemons.iter().map(|d| d.id);
-        let standing = newcomer.standing(others.filter(|id| *id != entry.id));
+        let others = register.sharers().filter(|id| *id != entry.id);
+        let standing = newcomer.standing(others);
         if standing == Standing::Settled {
             entry.newcomer = None;
             self.settled += usize::from(register.daemons.len() > 1);
@@ -307,14 +334,15 @@
         entry.dispatcher.router_mut().set_standing(standing);
     }
 
-    fn register(&mut self) {
-        if self.entries.len() >= ENTRIES_MAX {
-            return;
-        }
+    /// Registers an entry, at the address of an earlier one or at its own.
+    fn register(&mut self, earlier: Option<SocketAddr>) {
         let id = MemberId::new(self.next);
         self.next += 1;
         let mut register = self.newest().clone();
-        register.insert(fixtures::daemon(id, &self.home));
+        let mut daemon = fixtures::daemon(id, &self.home);
+        daemon.caller = earlier.unwrap_or(daemon.caller);
+        let caller = daemon.caller;
+        register.insert(daemon);
         let joined = Revision::new(self.registers.len() as u64);
         self.registers.push((self.now, register));
         let settings = DispatcherSettings {
@@ -325,6 +353,7 @@
         dispatcher.set_fresh_until(fixtures::FOREVER);
         self.entries.push(Entry {
             id,
+            caller,
             dispatcher,
             known: 0,
             registered: self.now,
@@ -333,6 +362,14 @@
         self.learn(self.entries.len() - 1);
     }
 
+    fn crash(&mut self, at: usize) {
+        if let Some(at) = pick(at, self.entries.len()) {
+            let entry = self.entries.remove(at);
+            self.vanished.push((entry.id, self.now));
+            self.register(Some(entry.caller));
+        }
+    }
+
     fn leave(&mut self, at: usize) {
         let Some(at) = pick(at, self.entries.len()) else {
             return;
--- a/crates/oracle/tests/shares.rs
+++ b/crates/oracle/tests/shares.rs
@@ -77,3 +77,22 @@
         .expect("the oracle holds");
     assert!(world.running() > 1, "the second entry has its share");
 }
+
+#[test]
+fn requests_of_a_process_that_ended_count_until_they_end() {
+    let entries = 4;
+    for ended in 0..entries {
+        let mut actions = vec![ColdAction::Register; entries];
+        actions.push(ColdAction::Advance(KNOWN_MS));
+        actions.extend((0..entries).flat_map(|entry| ask_all(entry, entries)));
+        actions.extend((0..entries).map(|entry| ColdAction::Send(entry, 1)));
+        actions.push(ColdAction::Crash(ended));
+        for _ in 0..2 {
+            actions.push(ColdAction::Advance(KNOWN_MS));
+            actions.extend((0..entries).map(ColdAction::Learn));
+            actions.extend(ask_all(entries - 1, entries));
+            actions.extend((0..entries).map(|entry| ColdAction::Send(entry, 1)));
+        }
+        assert_eq!(run(&actions).running(), 3);
+    }
+}
