Attribute a share statement to the process that made it

Cause, found in reading: a statement was recorded for the daemon that was asked. At an address where a process was replaced another one may answer, and its word would count for the earlier one's requests.

Change: the statement names its sender. Two whole-process tests of crashes: a fresh daemon beside a vanished one, and one started again at the same address; both answer through the others and get no callers.

Before and after: both tests pass without the change too, as the membership drops the earlier process first; the fault was not produced, only read.

Conclusion: kept, since nothing else rules the mix-up out.

--- a/crates/daemon/src/controllers/reports.rs
+++ b/crates/daemon/src/controllers/reports.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    DataCentreName, FencingNumber, GroupNumber, LoadReport, ProbeTarget, RelayedEvidence,
+    DataCentreName, FencingNumber, GroupNumber, LoadReport, MemberId, ProbeTarget, RelayedEvidence,
     ReplicaKey, Revision, ShareStatement, Time,
 };
 use bulrushhoist_wire::peer;
@@ -50,7 +50,8 @@
     };
     let reply = reply.into_inner();
     if let Some(statement) = reply.shares {
-        node.take_statement(target.member, from_wire(statement));
+        let sender = MemberId::new(statement.sender);
+        node.take_statement(sender, from_wire(statement));
     }
     for reports in reply.data_centres {
         let Ok(data_centre) = reports.data_centre.parse::<DataCentreName>() else {
@@ -81,13 +82,14 @@
 }
 
 /// Builds what this daemon says of its own requests in flight.
-fn own_statement(core: &Core, view: &View) -> peer::ShareStatement {
+fn own_statement(node: &Node, core: &Core, view: &View) -> peer::ShareStatement {
     let replica = |key: ReplicaKey| peer::ReplicaId {
         data_centre: key.data_centre.to_string(),
         number: key.number.0,
     };
     let beyond = core.dispatcher.beyond_share();
     peer::ShareStatement {
+        sender: node.id.get(),
         register: view.shares_by.get(),
         beyond: beyond.into_iter().map(replica).collect(),
     }
@@ -152,7 +154,7 @@
         .collect();
     let reports = peer::GroupReports {
         data_centres,
-        shares: Some(own_statement(&core, &view)),
+        shares: Some(own_statement(node, &core, &view)),
     };
     node.metrics.on_peer_bytes(reports.encoded_len());
     reports
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -71,6 +71,19 @@
         .await;
     }
 
+    async fn wait_until_answering(&self, entry: SocketAddr) {
+        let start = Instant::now();
+        let body = r#"{"model":"bench","max_tokens":4,"messages":["passed on"]}"#;
+        eventually("the fresh daemon answers", async || {
+            let url = format!("http://{entry}/v1/chat/completions");
+            let call = self.client.post(url).bearer_auth(TOKEN).body(body);
+            let answer = call.send().await.ok()?;
+            (answer.status() == 200).then_some(())
+        })
+        .await;
+        assert!(start.elapsed() < PASSED_ON_WITHIN, "{:?}", start.elapsed());
+    }
+
     async fn complete(&self, entry: SocketAddr, body: &str) -> reqwest::Response {
         let url = format!("http://{entry}/v1/chat/completions");
         let request = self
@@ -365,16 +378,19 @@
     let deployment = Deployment::start(3).await;
     deployment.daemons[0].process.signal("KILL");
     let fresh = DaemonProcess::start(deployment.platform, "east");
-    let start = Instant::now();
-    let body = r#"{"model":"bench","max_tokens":4,"messages":["passed on"]}"#;
-    eventually("the fresh daemon answers", async || {
-        let url = format!("http://{}/v1/chat/completions", fresh.caller);
-        let call = deployment.client.post(url).bearer_auth(TOKEN).body(body);
-        let answer = call.send().await.ok()?;
-        (answer.status() == 200).then_some(())
-    })
-    .await;
-    assert!(start.elapsed() < PASSED_ON_WITHIN, "{:?}", start.elapsed());
+    deployment.wait_until_answering(fresh.caller).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_restarts_after_a_crash_passes_requests_on_and_gets_no_callers() {
+    let mut deployment = Deployment::start(3).await;
+    deployment.daemons[0].crash_and_restart();
+    let (restarted, other) = (deployment.daemons[0].caller, deployment.daemons[1].caller);
+    deployment.wait_until_answering(restarted).await;
+    // What the crashed process sent may still run at endpoints.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let told = ask_entries(&deployment.client, &[other]).await;
+    assert!(!told.contains(&restarted), "{told:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -105,6 +105,7 @@
 /// A daemon process with its addresses.
 pub(crate) struct DaemonProcess {
     pub(crate) process: Process,
+    settings: String,
     pub(crate) caller: SocketAddr,
     pub(crate) operator: SocketAddr,
 }
@@ -127,10 +128,19 @@
         let process = Process::start("bulrushhoistd", &[path]);
         Self {
             process,
+            settings: path.to_owned(),
             caller,
             operator,
         }
     }
+
+    /// Ends the process without notice and starts another at its addresses.
+    pub(crate) fn crash_and_restart(&mut self) {
+        self.process.signal("KILL");
+        let ended = self.process.child.wait();
+        assert!(ended.is_ok(), "the process ends");
+        self.process = Process::start("bulrushhoistd", &[&self.settings]);
+    }
 }
 
 /// Runs the operators' tool; returns its exit code and output.
