One fixture for the worlds' deployments, one module for shares

Found in reading the whole change: five files declared nearly the same model and team as TOML text, and two tests built the same request. They now use fixtures::ModelFixture and fixtures::request.

--- /dev/null
+++ b/crates/core/src/dispatch/shares.rs
@@ -0,0 +1,83 @@
+//! How replicas' limits are divided among the entries.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::{Dispatcher, ReplicaView};
+use crate::deployment::Deployment;
+use crate::ids::{DataCentreName, MemberId};
+use crate::limit::{LimitSettings, share_of};
+use crate::register::Register;
+use crate::route::{ReplicaKey, ReplicaSpec};
+use crate::service::{DataCentreService, ServiceState};
+
+impl Dispatcher {
+    /// Builds the router's view of a group, unless another entry uses it.
+    pub(super) fn spec(
+        &self,
+        deployment: &Deployment,
+        service: &DataCentreService,
+        register: &Register,
+        home: &DataCentreName,
+        view: ReplicaView<'_>,
+    ) -> Option<ReplicaSpec> {
+        let workload = deployment.workloads.get(&view.group.workload)?;
+        let data_centre = deployment.data_centres.get(view.data_centre)?;
+        let leader = view.group.members.first()?;
+        let key = ReplicaKey {
+            data_centre: view.data_centre.clone(),
+            number: view.group.number,
+        };
+        let ranked = register.ranked_sharers(&key.to_string());
+        let entries = ranked.len().min(self.settings.spread);
+        let rank = ranked.iter().take(entries).position(|id| *id == self.own)?;
+        let one_way_delay = match view.data_centre == home {
+            true => Duration::ZERO,
+            false => data_centre.one_way_delay,
+        };
+        Some(ReplicaSpec {
+            key,
+            workload: workload.name.clone(),
+            leader: leader.vm.clone(),
+            address: leader.address,
+            rank: u32::try_from(rank).ok()?,
+            entries: u32::try_from(entries).ok()?,
+            in_service: service.state(view.data_centre) == ServiceState::In,
+            one_way_delay,
+            limits: LimitSettings {
+                cold: workload.cold_limit,
+                warm: workload.warm_limit,
+                ramp: workload.ramp_requests,
+                target: workload.first_token,
+            },
+        })
+    }
+
+    /// Returns the share of each registered daemon at one replica.
+    pub fn shares<'a>(
+        &self,
+        register: &'a Register,
+        key: &ReplicaKey,
+        total: u32,
+    ) -> impl Iterator<Item = (MemberId, u32)> + use<'a> {
+        let ranked = register.ranked_sharers(&key.to_string());
+        let entries = ranked.len().min(self.settings.spread);
+        let count = u32::try_from(entries).unwrap_or(u32::MAX);
+        let ranked = (0u32..).zip(ranked).take(entries);
+        ranked.map(move |(rank, id)| (id, share_of(total, rank, count)))
+    }
+
+    /// Returns the replicas at which more of this entry's requests are in flight
+    /// than its share.
+    #[must_use]
+    pub fn beyond_share(&self) -> BTreeSet<ReplicaKey> {
+        let mut in_flight: HashMap<&ReplicaKey, u32> = HashMap::new();
+        for running in self.running.values() {
+            *in_flight.entry(&running.replica).or_default() += 1;
+        }
+        let beyond = in_flight
+            .into_iter()
+            .filter(|(key, count)| *count > self.router.share(key));
+        beyond.map(|(key, _)| key.clone()).collect()
+    }
+}
--- a/crates/load/src/decisions.rs
+++ b/crates/load/src/decisions.rs
@@ -7,7 +7,7 @@
     DataCentreName, Dispatcher, DispatcherSettings, Event, Fingerprint, NewRequest, Outcome,
     RequestId, Time,
 };
-use bulrushhoist_oracle::fixtures;
+use bulrushhoist_oracle::fixtures::{self, ModelFixture};
 use smallvec::SmallVec;
 
 /// Requests decided in one measurement.
@@ -69,24 +69,17 @@
 }
 
 /// A deployment of one model and one team.
-const FILE: &str = r#"
-[data-centres.east]
-region = "south"
-[models.bench]
-version = "1"
-vms-per-replica = 1
-cold-limit = 64
-warm-limit = 64
-checks-fencing = true
-[models.bench.replicas]
-east = 1
-[teams.shop]
-max-in-flight = 1000000
-token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
-"#;
+const MODEL: ModelFixture<'_> = ModelFixture {
+    vms: 1,
+    cold: 64,
+    warm: 64,
+    ramp: 8,
+    replicas: &[("east", 1)],
+    team_limit: 1_000_000,
+};
 
 fn dispatcher(replicas: u64) -> Dispatcher {
-    let deployment = fixtures::deployment(FILE);
+    let deployment = MODEL.deployment();
     let home: DataCentreName = fixtures::name("east");
     let workload = fixtures::name("bench");
     let groups: Vec<_> = (0..replicas)
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -19,7 +19,7 @@
 use proptest::prelude::{Just, Strategy, prop_oneof};
 use smallvec::SmallVec;
 
-use crate::fixtures;
+use crate::fixtures::{self, ModelFixture};
 
 /// Freshness bound: an entry that takes work knows the register of then.
 const LIFE: Duration = Duration::from_secs(3);
@@ -32,25 +32,14 @@
 /// Entries at most.
 const ENTRIES_MAX: usize = 9;
 
-const FILE: &str = r#"
-[data-centres.east]
-region = "south"
-
-[models.bench]
-version = "1"
-vms-per-replica = 1
-cold-limit = 3
-warm-limit = 40
-ramp-requests = 4
-checks-fencing = true
-
-[models.bench.replicas]
-east = 1
-
-[teams.shop]
-max-in-flight = 1000
-token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
-"#;
+const MODEL: ModelFixture<'_> = ModelFixture {
+    vms: 1,
+    cold: 3,
+    warm: 40,
+    ramp: 4,
+    replicas: &[("east", 1)],
+    team_limit: 1000,
+};
 
 /// One step of the world.
 #[derive(Clone, Debug)]
@@ -144,7 +133,7 @@
     /// A world with one cold replica and no entries.
     #[must_use]
     pub fn new() -> Self {
-        let deployment = fixtures::deployment(FILE);
+        let deployment = MODEL.deployment();
         let workload = deployment
             .workloads
             .values()
--- a/crates/oracle/src/groups.rs
+++ b/crates/oracle/src/groups.rs
@@ -20,7 +20,7 @@
 pub use actions::{GroupAction, group_actions};
 
 use crate::endpoint::{Obeyed, obey, restart};
-use crate::fixtures;
+use crate::fixtures::ModelFixture;
 
 /// Time for which a report counts.
 const EVIDENCE: Duration = Duration::from_secs(2);
@@ -41,20 +41,14 @@
 /// Period of the regular work.
 const ROUND: Duration = Duration::from_millis(500);
 
-const FILE: &str = r#"
-[data-centres.east]
-region = "south"
-
-[models.bench]
-version = "1"
-vms-per-replica = 2
-cold-limit = 3
-warm-limit = 40
-checks-fencing = true
-
-[models.bench.replicas]
-east = 4
-"#;
+const MODEL: ModelFixture<'_> = ModelFixture {
+    vms: 2,
+    cold: 3,
+    warm: 40,
+    ramp: 8,
+    replicas: &[("east", 4)],
+    team_limit: 1000,
+};
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Power {
@@ -121,7 +115,7 @@
     /// A world of empty VMs, whose endpoints check fencing numbers or not.
     #[must_use]
     pub fn new(fencing: Fencing) -> Self {
-        let deployment = fixtures::deployment(FILE);
+        let deployment = MODEL.deployment();
         let home = "east".parse().expect("a sound name");
         let mut world = Self {
             now: Time::from_millis(100_000),
--- a/crates/oracle/tests/routing.rs
+++ b/crates/oracle/tests/routing.rs
@@ -3,33 +3,21 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    DataCentreName, DataCentreService, Dispatcher, DispatcherSettings, Event, Fingerprint, Group,
-    MemberId, NewRequest, Outcome, Reason, Refusal, Register, ReplicaKey, ReplicaView, RequestId,
-    ServiceState, Time,
+    DataCentreName, DataCentreService, Dispatcher, DispatcherSettings, Event, Group, MemberId,
+    Outcome, Reason, Refusal, Register, ReplicaKey, ReplicaView, RequestId, ServiceState, Time,
+};
+use bulrushhoist_oracle::fixtures::{
+    FOREVER, ModelFixture, daemon, dispatcher, name, replica, request,
 };
-use bulrushhoist_oracle::fixtures::{FOREVER, daemon, deployment, dispatcher, name, replica};
-use smallvec::SmallVec;
 
-const FILE: &str = r#"
-[data-centres.east]
-region = "south"
-one-way-delay-us = 4000
-[data-centres.west]
-region = "south"
-one-way-delay-us = 4000
-[models.bench]
-version = "1"
-vms-per-replica = 1
-cold-limit = 4
-warm-limit = 4
-checks-fencing = true
-[models.bench.replicas]
-east = 4
-west = 1
-[teams.shop]
-max-in-flight = 6
-token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
-"#;
+const MODEL: ModelFixture<'_> = ModelFixture {
+    vms: 1,
+    cold: 4,
+    warm: 4,
+    ramp: 8,
+    replicas: &[("east", 4), ("west", 1)],
+    team_limit: 6,
+};
 
 fn groups() -> Vec<(DataCentreName, Group)> {
     let workload = name("bench");
@@ -42,26 +30,13 @@
 
 fn world() -> Dispatcher {
     dispatcher(
-        &deployment(FILE),
+        &MODEL.deployment(),
         DispatcherSettings::default(),
         &name("east"),
         &groups(),
     )
 }
 
-fn request(number: u64, now: Time) -> NewRequest {
-    NewRequest {
-        id: RequestId::from(u128::from(number)),
-        team: name("shop"),
-        workload: name("bench"),
-        prefix: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
-        fingerprint: Fingerprint::new(number),
-        deadline: now + Duration::from_secs(1),
-        avoid: SmallVec::new(),
-        forwardable: false,
-    }
-}
-
 fn started(events: &[Event]) -> Option<ReplicaKey> {
     events.iter().find_map(|e| match e {
         Event::Start(_, choice) => Some(choice.replica.clone()),
@@ -123,7 +98,13 @@
     let views = groups
         .iter()
         .map(|(data_centre, group)| ReplicaView { data_centre, group });
-    dispatcher.reconfigure(&deployment(FILE), &service, &register, &name("east"), views);
+    dispatcher.reconfigure(
+        &MODEL.deployment(),
+        &service,
+        &register,
+        &name("east"),
+        views,
+    );
     for number in 2..5 {
         let events = dispatcher.submit(Time::ZERO, request(number, Time::ZERO));
         let replica = started(&events).expect("the other data centre has room");
--- a/crates/oracle/tests/slow_replicas.rs
+++ b/crates/oracle/tests/slow_replicas.rs
@@ -3,27 +3,19 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{
-    DataCentreName, Dispatcher, DispatcherSettings, Event, Fingerprint, Group, GroupNumber,
-    NewRequest, Outcome, RequestId, Time,
+    DataCentreName, Dispatcher, DispatcherSettings, Event, Group, GroupNumber, Outcome, RequestId,
+    Time,
 };
-use bulrushhoist_oracle::fixtures::{deployment, dispatcher, name, replica};
-use smallvec::SmallVec;
+use bulrushhoist_oracle::fixtures::{ModelFixture, dispatcher, name, replica, request};
 
-const FILE: &str = r#"
-[data-centres.east]
-region = "south"
-[models.bench]
-version = "1"
-vms-per-replica = 1
-cold-limit = 32
-warm-limit = 32
-checks-fencing = true
-[models.bench.replicas]
-east = 5
-[teams.shop]
-max-in-flight = 1000
-token-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
-"#;
+const MODEL: ModelFixture<'_> = ModelFixture {
+    vms: 1,
+    cold: 32,
+    warm: 32,
+    ramp: 8,
+    replicas: &[("east", 5)],
+    team_limit: 1000,
+};
 
 /// Replicas that share the requests.
 const REPLICAS: u64 = 5;
@@ -57,7 +49,7 @@
         Self {
             now: Time::from_millis(1_000),
             next: 0,
-            dispatcher: dispatcher(&deployment(FILE), settings, &east, &groups),
+            dispatcher: dispatcher(&MODEL.deployment(), settings, &east, &groups),
         }
     }
 
@@ -66,16 +58,7 @@
         self.now = self.now + PERIOD;
         self.next += 1;
         let id = RequestId::from(u128::from(self.next));
-        let request = NewRequest {
-            id,
-            team: name("shop"),
-            workload: name("bench"),
-            prefix: self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15),
-            fingerprint: Fingerprint::new(self.next),
-            deadline: self.now + Duration::from_secs(1),
-            avoid: SmallVec::new(),
-            forwardable: false,
-        };
+        let request = request(self.next, self.now);
         let events = self.dispatcher.submit(self.now, request);
         let Some(Event::Start(_, choice)) = events.into_iter().next() else {
             panic!("there is room");
