--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use bulrushhoist_core::{Manifest, ObjectKey, Revision, SourceFile, check_files};
-use bulrushhoist_platform::{PlatformError, Store, StoreError, Stored};
+use bulrushhoist_store::{PlatformError, Store, StoreError, Stored};
 use derive_more::Display;
 use serde::Serialize;
 
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{DataCentreName, DataCentreService, ObjectKey, ServiceState, check_files};
-use bulrushhoist_platform::{HttpPlatform, Store};
+use bulrushhoist_store::{HttpPlatform, Store};
 use serde_json::{Value, json};
 
 use crate::apply::{Applied, FileDifference, apply_files, differences, stored_files};
@@ -24,7 +24,7 @@
 /// Carries out a command; returns the exit code.
 pub async fn run(arguments: Arguments) -> Result<u8, CliError> {
     let platform = HttpPlatform::new(arguments.platform, PLATFORM_TIMEOUT)
-        .map_err(bulrushhoist_platform::StoreError::from)?;
+        .map_err(bulrushhoist_store::StoreError::from)?;
     let session = Session {
         store: Store::new(Arc::new(platform)),
         fleet: Fleet::new(arguments.token.clone())?,
--- a/crates/cli/src/data_centres.rs
+++ b/crates/cli/src/data_centres.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bulrushhoist_core::{DataCentreName, DataCentreService, ObjectKey, Revision, ServiceState};
-use bulrushhoist_platform::{PlatformError, Store, StoreError};
+use bulrushhoist_store::{PlatformError, Store, StoreError};
 use serde::Serialize;
 
 use crate::error::CliError;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use bulrushhoist_core::Problems;
-use bulrushhoist_platform::{PlatformError, StoreError};
+use bulrushhoist_store::{PlatformError, StoreError};
 use derive_more::{Display, Error, From};
 
 /// Why a command failed.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{ObjectKey, Register, RegisteredDaemon, Revision};
-use bulrushhoist_platform::Store;
+use bulrushhoist_store::Store;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -8,7 +8,7 @@
     RequestId, Ticket, TicketOutcome, WorkloadKind, WorkloadName, claim_key, judge_claim,
 };
 use bulrushhoist_engine::{CallRequest, EndpointError, Settled};
-use bulrushhoist_platform::{PlatformError, StoreError};
+use bulrushhoist_store::{PlatformError, StoreError};
 use salvo::http::StatusCode;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
--- a/crates/daemon/src/controllers/placement.rs
+++ b/crates/daemon/src/controllers/placement.rs
@@ -9,7 +9,7 @@
     Order, PlacementSettings, Plan, Planner, Situation, VmRecord,
 };
 use bulrushhoist_engine::OrderReply;
-use bulrushhoist_platform::{StoreError, Stored};
+use bulrushhoist_store::{StoreError, Stored};
 use slog::{info, warn};
 
 use super::probe::probe_controlled;
--- a/crates/daemon/src/controllers/register.rs
+++ b/crates/daemon/src/controllers/register.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{DaemonPhase, MemberId, Newcomer, ObjectKey, ProbeTarget, Register, Time};
-use bulrushhoist_platform::StoreError;
+use bulrushhoist_store::StoreError;
 use slog::{info, warn};
 
 use super::reports;
--- a/crates/daemon/src/controllers/sync.rs
+++ b/crates/daemon/src/controllers/sync.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{Manifest, ObjectKey};
-use bulrushhoist_platform::{Cursor, Listing, PlatformError};
+use bulrushhoist_store::{Cursor, Listing, PlatformError};
 use slog::{info, warn};
 
 use crate::metrics::PlatformCall;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,7 @@
     Standing, Time, VmName, VmStatus,
 };
 use bulrushhoist_engine::EndpointApi;
-use bulrushhoist_platform::Store;
+use bulrushhoist_store::Store;
 use rand::RngExt as _;
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -7,7 +7,7 @@
 
 use bulrushhoist_core::{DataCentreName, ServiceState};
 use bulrushhoist_engine::{EndpointError, HttpEndpointSettings, HttpEndpoints};
-use bulrushhoist_platform::{HttpPlatform, PlatformError, Store};
+use bulrushhoist_store::{HttpPlatform, PlatformError, Store};
 use derive_more::{Display, Error, From};
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,51 @@
+//! The process's clocks.
+//!
+//! The steady clock stands still while a VM is suspended; the boot clock does
+//! not. A step between the two shows that what this process believes is old.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// Time since the start of the process, and the boot clock beside it.
+#[derive(Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+    boot_offset: Cell<Duration>,
+}
+
+fn boot_time() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            boot_offset: Cell::new(boot_time()),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Time::from_micros(micros)
+    }
+
+    /// Returns the instant of a point in time, to wait for.
+    pub(crate) fn instant(&self, time: Time) -> Instant {
+        self.start + Duration::from_micros(time.as_micros())
+    }
+
+    /// Returns for how long the VM was suspended since the last call.
+    pub(crate) fn suspended(&self) -> Duration {
+        let offset = boot_time().saturating_sub(self.start.elapsed());
+        let before = self.boot_offset.replace(offset);
+        offset.saturating_sub(before)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/groups.rs
@@ -0,0 +1,275 @@
+//! Plans groups while this entry is the one to do so.
+//!
+//! The plan is read when this entry takes over, and written by conditional
+//! updates; an answer that is lost is settled by reading the plan again.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{
+    Catalog, Endpoint, GroupSettings, LoadLimits, Name, Plan, Planner, Step, Vitality, VmView,
+};
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use slog::{info, warn};
+
+use crate::control::ControlLinks;
+use crate::dialect::ObjectKind;
+use crate::node::Node;
+use crate::peers;
+use crate::store::StoreError;
+
+/// Name of the plan in the store.
+const PLAN_NAME: &str = "main";
+/// Longest pause between two looks at plan and reports.
+const TICK: Duration = Duration::from_millis(200);
+/// Time between two probes of a VM in a group.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two probes of a VM in a group under suspicion.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(200);
+/// Part of the VMs that are silent at once from which on this entry takes itself
+/// for cut off.
+const CUT_OFF_PART: f64 = 0.4;
+/// Part of the store's published rate of loads that is used.
+const LOAD_RATE_PART: f64 = 0.9;
+/// Suspension after which given orders are forgotten and the plan is read again.
+const SUSPENDED: Duration = Duration::from_millis(400);
+/// Time for which this entry must be the one to plan before it takes over, so that
+/// a peer that has just started can be heard.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
+
+/// The plan as it was last read or written.
+#[derive(Clone, Debug, Default)]
+struct Stored {
+    plan: Plan,
+    revision: Option<u64>,
+}
+
+/// The planner's state in this process.
+struct Controller {
+    node: Rc<Node>,
+    links: ControlLinks,
+    planner: RefCell<Planner>,
+    probed: RefCell<BTreeMap<Name, Time>>,
+}
+
+/// Plans for ever.
+pub(crate) async fn plan_groups(node: Rc<Node>) {
+    let controller = Controller {
+        node: node.clone(),
+        links: ControlLinks::default(),
+        planner: RefCell::new(Planner::new(GroupSettings::default())),
+        probed: RefCell::default(),
+    };
+    let mut stored: Option<Stored> = None;
+    let mut first_chance: Option<Time> = None;
+    loop {
+        // A wake-up only shortens the pause.
+        let _ = tokio::time::timeout(TICK, node.planner_wake.notified()).await;
+        let now = node.now();
+        if node.clock.suspended() >= SUSPENDED {
+            warn!(node.log, "process was suspended");
+            controller.planner.borrow_mut().reset();
+            stored = None;
+            first_chance = None;
+            node.state.borrow_mut().store_heard = None;
+            continue;
+        }
+        if !peers::may_plan(&node) || !node.state.borrow().has_roster {
+            if stored.take().is_some() {
+                info!(node.log, "stopped planning");
+                controller.planner.borrow_mut().reset();
+            }
+            first_chance = None;
+            continue;
+        }
+        let since = *first_chance.get_or_insert(now);
+        if now.since(since) < TAKEOVER_DELAY {
+            continue;
+        }
+        let current = match stored.take() {
+            Some(current) => current,
+            None => match read_plan(&node).await {
+                Ok(read) => {
+                    info!(node.log, "planning"; "groups" => read.plan.groups.len(), "epoch" => read.plan.epoch, "revision" => read.revision);
+                    read
+                }
+                Err(error) => {
+                    warn!(node.log, "plan not read"; "cause" => %error);
+                    continue;
+                }
+            },
+        };
+        stored = controller.advance(current).await;
+    }
+}
+
+async fn read_plan(node: &Node) -> Result<Stored, StoreError> {
+    match node.store.read(ObjectKind::Plans, PLAN_NAME).await {
+        Ok(object) => match serde_json::from_slice(&object.body) {
+            Ok(plan) => Ok(Stored {
+                plan,
+                revision: Some(object.revision),
+            }),
+            Err(error) => {
+                warn!(node.log, "plan not usable, planning anew"; "cause" => %error);
+                Ok(Stored {
+                    plan: Plan {
+                        // Revisions of the store grow faster than epochs are drawn.
+                        epoch: object.revision,
+                        ..Plan::default()
+                    },
+                    revision: Some(object.revision),
+                })
+            }
+        },
+        Err(StoreError::Absent) => Ok(Stored::default()),
+        Err(error) => Err(error),
+    }
+}
+
+impl Controller {
+    /// Takes one step with every service that has engines. Returns what is stored,
+    /// or `None` if it must be read again.
+    async fn advance(&self, mut stored: Stored) -> Option<Stored> {
+        let catalog = self.node.state.borrow().catalog.clone();
+        self.probe(&stored.plan).await;
+        for service in catalog.services().filter(|s| s.engine.is_some()) {
+            loop {
+                match self.step(&catalog, &service.name, &stored.plan) {
+                    Step::Store(plan) => stored = self.store(stored, plan).await?,
+                    Step::Orders(orders) => {
+                        self.give(&stored.plan, orders).await;
+                        break;
+                    }
+                }
+            }
+        }
+        Some(stored)
+    }
+
+    fn step(&self, catalog: &Catalog, service: &str, plan: &Plan) -> Step {
+        let node = &self.node;
+        let now = node.now();
+        let state = node.state.borrow();
+        let own = state.roster.iter().filter(|e| *e.service == *service);
+        let mut views: Vec<VmView<'_>> = own
+            .map(|endpoint| VmView {
+                endpoint,
+                vitality: state.monitor.vitality(now, &endpoint.id, endpoint.born),
+                evacuated: state.roster.is_evacuated(&endpoint.data_centre),
+            })
+            .collect();
+        let silent = views
+            .iter()
+            .filter(|v| v.vitality == Vitality::Silent)
+            .count();
+        if silent as f64 > views.len() as f64 * CUT_OFF_PART {
+            for view in &mut views {
+                if view.vitality == Vitality::Silent {
+                    view.vitality = Vitality::Suspect;
+                }
+            }
+        }
+        let limits = LoadLimits {
+            in_traffic: state.in_traffic,
+            rate_part: LOAD_RATE_PART,
+        };
+        let Some(service) = catalog.service(service) else {
+            return Step::Orders(Vec::new());
+        };
+        self.planner
+            .borrow_mut()
+            .step(now, service, plan, &views, limits)
+    }
+
+    /// Writes a plan if nobody else has written one since.
+    async fn store(&self, stored: Stored, plan: Plan) -> Option<Stored> {
+        let node = &self.node;
+        let body = serde_json::to_string(&plan).expect("a plan is valid JSON");
+        let written = node
+            .store
+            .write(ObjectKind::Plans, PLAN_NAME, stored.revision, &body)
+            .await;
+        node.metrics.on_store_call("write", written.is_ok());
+        match written {
+            Ok(object) => {
+                info!(node.log, "plan stored"; "revision" => object.revision, "epoch" => plan.epoch, "groups" => plan.groups.len(), "before" => stored.plan.groups.len());
+                Some(Stored {
+                    plan,
+                    revision: Some(object.revision),
+                })
+            }
+            Err(error) => {
+                warn!(node.log, "plan not stored"; "cause" => %error);
+                if matches!(error, StoreError::NoAnswer(_) | StoreError::Refused(_)) {
+                    // Another entry may reach the store.
+                    node.state.borrow_mut().store_heard = None;
+                }
+                None
+            }
+        }
+    }
+
+    /// Gives orders to several endpoints at once.
+    async fn give(&self, plan: &Plan, orders: Vec<bulrushhoist_fleet::Order>) {
+        let node = &self.node;
+        let fence = node.settings.bounds.fencing.then_some(plan.epoch);
+        let mut given = FuturesUnordered::new();
+        for order in orders {
+            let found = node.state.borrow().roster.get(&order.endpoint).cloned();
+            let Some(endpoint) = found else {
+                continue;
+            };
+            given.push(async move {
+                let answer = self.links.give(node, &endpoint, &order, fence).await;
+                (order, answer)
+            });
+        }
+        while let Some((order, answer)) = given.next().await {
+            self.planner.borrow_mut().on_answer(&order, answer);
+        }
+    }
+
+    /// Probes the VMs whose turn it is.
+    async fn probe(&self, plan: &Plan) {
+        let due = self.due(plan);
+        let mut probes = FuturesUnordered::new();
+        for endpoint in &due {
+            probes.push(self.links.probe(&self.node, endpoint));
+        }
+        while probes.next().await.is_some() {}
+    }
+
+    fn due(&self, plan: &Plan) -> Vec<Endpoint> {
+        let now = self.node.now();
+        let state = self.node.state.borrow();
+        let mut probed = self.probed.borrow_mut();
+        probed.retain(|id, _| state.roster.get(id).is_some());
+        let mut due = Vec::new();
+        for group in &plan.groups {
+            let members = group.members.iter().filter_map(|m| state.roster.get(&m.id));
+            let members: Vec<&Endpoint> = members.collect();
+            let doubted = members.iter().any(|e| {
+                let vitality = state.monitor.vitality(now, &e.id, e.born);
+                vitality != Vitality::Alive
+            });
+            let interval = if doubted {
+                SUSPECT_INTERVAL
+            } else {
+                PROBE_INTERVAL
+            };
+            for endpoint in members {
+                let last = probed.get(&endpoint.id);
+                if last.is_none_or(|t| now.since(*t) >= interval) {
+                    probed.insert(endpoint.id.clone(), now);
+                    due.push(endpoint.clone());
+                }
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,125 @@
+//! Counters and histograms, exported as Prometheus text.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+use crate::outcome::{Refusal, RetryCause};
+
+/// The process's measurements.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    orders: Counter<u64>,
+    probes: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_part: Histogram<f64>,
+    waited: Histogram<f64>,
+    version: Gauge<u64>,
+}
+
+/// Boundaries of the latency histograms, in seconds.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.12, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| prometheus::Error::Msg(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bulrushhoist");
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        let histogram = |name: &'static str, about: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(about)
+                .with_boundaries(LATENCY_BUCKETS_S.to_vec())
+                .build()
+        };
+        Ok(Self {
+            answers: counter("bulrushhoist_answers", "Answers by kind of call and status"),
+            refusals: counter("bulrushhoist_refusals", "Refusals by reason"),
+            retries: counter("bulrushhoist_retries", "Requests sent once more, by cause"),
+            orders: counter(
+                "bulrushhoist_orders",
+                "Orders to endpoints by kind and answer",
+            ),
+            probes: counter("bulrushhoist_probes", "Probes of endpoints by result"),
+            store_calls: counter("bulrushhoist_store_calls", "Calls to the store by result"),
+            first_part: histogram(
+                "bulrushhoist_first_part_seconds",
+                "Time from a request's arrival to the first part of its answer",
+            ),
+            waited: histogram(
+                "bulrushhoist_waited_seconds",
+                "Time that requests waited for a head",
+            ),
+            version: meter
+                .u64_gauge("bulrushhoist_configuration_version")
+                .with_description("Version of the configuration in force")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    pub(crate) fn on_answer(&self, kind: &'static str, status: u16, took: Duration) {
+        let kind = KeyValue::new("kind", kind);
+        self.first_part
+            .record(took.as_secs_f64(), std::slice::from_ref(&kind));
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[kind, status]);
+    }
+
+    pub(crate) fn on_refusal(&self, refusal: Refusal) {
+        let reason = KeyValue::new("reason", refusal.to_string());
+        self.refusals.add(1, &[reason]);
+    }
+
+    pub(crate) fn on_retry(&self, cause: RetryCause) {
+        self.retries
+            .add(1, &[KeyValue::new("cause", cause.to_string())]);
+    }
+
+    pub(crate) fn on_order(&self, kind: &'static str, answer: &str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("answer", answer.to_owned()),
+        ];
+        self.orders.add(1, &labels);
+    }
+
+    pub(crate) fn on_probe(&self, answered: bool) {
+        self.probes.add(1, &[KeyValue::new("answered", answered)]);
+    }
+
+    pub(crate) fn on_store_call(&self, purpose: &'static str, ok: bool) {
+        let labels = [KeyValue::new("purpose", purpose), KeyValue::new("ok", ok)];
+        self.store_calls.add(1, &labels);
+    }
+
+    pub(crate) fn on_wait(&self, waited: Duration) {
+        self.waited.record(waited.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn set_version(&self, version: u64) {
+        self.version.record(version, &[]);
+    }
+
+    /// Returns every measurement in Prometheus text form.
+    pub(crate) fn export(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/net.rs
@@ -0,0 +1,54 @@
+//! Sockets: every connection notices by itself when the other end is gone.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time for which sent bytes may stay unacknowledged. Twice the longest round
+/// trip with one retransmission stays well below it.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Idle time after which a connection is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between two such probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Opens a connection within a time limit.
+pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(limit, connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    tune(&stream)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,408 @@
+//! What an entry knows, and the decisions about requests made from it.
+//!
+//! The process has one thread. State is borrowed for the length of a decision
+//! and never across an await.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, Time, stable_hash};
+use bulrushhoist_fleet::{
+    Batch, Candidate, Catalog, ColdAllowance, Endpoint, HeadLoad, Monitor, MonitorSettings, Name,
+    PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice, PlainLoad, Roster, SharedBudget,
+    Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head, choose_plain,
+};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use slog::{Logger, info};
+use smallvec::SmallVec;
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::store::StoreClient;
+
+/// Silence of all streams at a head after which it counts as stalled. A pass of
+/// a full batch with a piece of a prompt takes about a fifth of this.
+pub(crate) const STALL_SILENCE: Duration = Duration::from_millis(600);
+/// Time for which a suspicion is told to the other entries.
+const SUSPICION_NEWS: Duration = Duration::from_millis(1_500);
+
+/// Whether the entry takes callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It takes callers as soon as it knows enough.
+    Serving,
+    /// It was told to stop: other entries take new callers.
+    Leaving,
+}
+
+/// What this entry has in flight at one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OwnLoad {
+    pub(crate) requests: u32,
+    pub(crate) unread: u32,
+    /// When the endpoint last wrote something, or got work while it had none.
+    pub(crate) active: Time,
+}
+
+/// Requests that wait for a head of one model.
+#[derive(Default)]
+pub(crate) struct Line {
+    pub(crate) waiting: WaitingLine,
+    pub(crate) wakers: HashMap<u64, oneshot::Sender<bool>>,
+}
+
+/// A service's model, as requests name it.
+pub(crate) type ModelKey = (Name, Name);
+
+/// Everything that changes.
+pub(crate) struct State {
+    pub(crate) phase: Phase,
+    pub(crate) catalog: Rc<Catalog>,
+    pub(crate) catalog_revision: u64,
+    pub(crate) has_roster: bool,
+    pub(crate) roster: Roster,
+    pub(crate) monitor: Monitor,
+    pub(crate) peers: PeerBook,
+    pub(crate) loads: HashMap<Name, OwnLoad>,
+    pub(crate) cold: HashMap<Name, ColdAllowance>,
+    pub(crate) lines: HashMap<ModelKey, Line>,
+    pub(crate) budgets: HashMap<Name, SharedBudget>,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) suspicions: HashMap<Name, (u64, Time)>,
+    pub(crate) store_heard: Option<Time>,
+    pub(crate) in_traffic: bool,
+    pub(crate) next_turn: u64,
+    pub(crate) rng: SmallRng,
+}
+
+/// One entry.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) clock: Clock,
+    pub(crate) store: StoreClient,
+    pub(crate) state: RefCell<State>,
+    pub(crate) links: Links,
+    /// Wakes the planner when something changed that may call for orders.
+    pub(crate) planner_wake: Notify,
+}
+
+/// Offset basis of the 32-bit FNV-1a hash.
+const FNV_OFFSET: u32 = 0x811c_9dc5;
+/// Prime of the 32-bit FNV-1a hash.
+const FNV_PRIME: u32 = 0x0100_0193;
+
+/// Returns the short hash by which entries name an endpoint to each other.
+pub(crate) fn load_key(id: &str) -> u32 {
+    id.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Rc<dyn Dialect>,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Self {
+        let store = StoreClient::new(settings.store.address, dialect.clone());
+        let seed = stable_hash([settings.node.as_bytes()]) ^ u64::from(std::process::id());
+        let state = State {
+            phase: Phase::Serving,
+            catalog: Rc::default(),
+            catalog_revision: 0,
+            has_roster: false,
+            roster: Roster::default(),
+            monitor: Monitor::new(MonitorSettings::default()),
+            peers: PeerBook::new(PeerSettings::default()),
+            loads: HashMap::new(),
+            cold: HashMap::new(),
+            lines: HashMap::new(),
+            budgets: HashMap::new(),
+            quarantine: Quarantine::new(QuarantineSettings::default()),
+            suspicions: HashMap::new(),
+            store_heard: None,
+            in_traffic: false,
+            next_turn: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        Self {
+            settings,
+            dialect,
+            log,
+            metrics,
+            clock: Clock::new(),
+            store,
+            state: RefCell::new(state),
+            links: Links::default(),
+            planner_wake: Notify::new(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns whether this entry takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.phase == Phase::Serving && state.catalog.limits().is_some() && state.has_roster
+    }
+
+    /// Takes notice of a failed or stalled request at an endpoint.
+    pub(crate) fn suspect(&self, endpoint: &Name, born: u64, cause: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let new = state.monitor.on_failure(now, endpoint, born);
+        state.suspicions.insert(endpoint.clone(), (born, now));
+        if new {
+            info!(self.log, "endpoint suspected"; "endpoint" => &**endpoint, "born" => born, "cause" => cause);
+            self.planner_wake.notify_one();
+        }
+    }
+
+    /// Takes a sign of life of an endpoint.
+    pub(crate) fn on_life(&self, endpoint: &Name, born: u64) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.monitor.on_life(endpoint, born);
+        if let Some(load) = state.loads.get_mut(endpoint) {
+            load.active = now;
+        }
+    }
+
+    /// Returns whether an endpoint with work has been silent for too long.
+    pub(crate) fn is_stalled(&self, endpoint: &Name) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        let load = state.loads.get(endpoint);
+        load.is_some_and(|l| l.requests > 0 && now.since(l.active) >= STALL_SILENCE)
+    }
+
+    /// Wakes requests that can start now, and turns away those that waited too long.
+    pub(crate) fn advance_lines(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let mut lines = std::mem::take(&mut state.lines);
+        for (key, line) in &mut lines {
+            for turn in line.waiting.overdue(now) {
+                if let Some(waker) = line.wakers.remove(&turn.id) {
+                    // The request's caller may have left meanwhile.
+                    let _ = waker.send(false);
+                }
+            }
+            while !line.waiting.is_empty() {
+                let placed =
+                    state.place(now, &self.settings.data_centre, key, Work::default(), &[]);
+                let Placement::Head(_, first) = placed else {
+                    break;
+                };
+                let Some(turn) = line.waiting.next(now, first) else {
+                    break;
+                };
+                if let Some(waker) = line.wakers.remove(&turn.id)
+                    && waker.send(true).is_ok()
+                {
+                    // The woken request takes its place before the next is woken.
+                    break;
+                }
+            }
+        }
+        state.lines = lines;
+    }
+
+    /// Returns the suspicions to tell the other entries.
+    pub(crate) fn suspicion_news(&self) -> Vec<Suspicion> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state
+            .suspicions
+            .retain(|_, (_, at)| now.since(*at) < SUSPICION_NEWS);
+        let all = state.suspicions.iter();
+        all.map(|(endpoint, (born, _))| Suspicion {
+            endpoint: endpoint.clone(),
+            born: *born,
+        })
+        .collect()
+    }
+
+    /// Returns what this entry has in flight, for the other entries.
+    pub(crate) fn load_news(&self) -> Vec<HeadLoad> {
+        let state = self.state.borrow();
+        let busy = state.loads.iter().filter(|(_, l)| l.requests > 0);
+        busy.map(|(id, l)| HeadLoad {
+            key: load_key(id),
+            requests: l.requests,
+            unread: l.unread,
+        })
+        .collect()
+    }
+}
+
+impl State {
+    /// Returns whether the store answered within this time.
+    pub(crate) fn in_touch(&self, now: Time, within: Duration) -> bool {
+        self.store_heard.is_some_and(|t| now.since(t) < within)
+    }
+
+    /// Returns what all entries have in flight at an endpoint.
+    fn batch(&self, now: Time, id: &Name) -> Batch {
+        let own = self.loads.get(id).copied().unwrap_or_default();
+        let (requests, unread) = self.peers.load(now, load_key(id));
+        Batch {
+            requests: f64::from(own.requests + requests),
+            unread: f64::from(own.unread + unread),
+        }
+    }
+
+    fn vitality(&self, now: Time, endpoint: &Endpoint) -> Vitality {
+        self.monitor.vitality(now, &endpoint.id, endpoint.born)
+    }
+
+    fn has_cold_room(&self, now: Time, id: &Name, per_s: f64) -> bool {
+        let entries = self.peers.entries(now);
+        let room = |a: &ColdAllowance| a.has_room(now, per_s * COLD_PART, entries);
+        per_s <= 0.0 || self.cold.get(id).is_none_or(room)
+    }
+
+    /// Chooses a head for a request; `avoid` names heads that failed it.
+    pub(crate) fn place(
+        &mut self,
+        now: Time,
+        data_centre: &str,
+        (service, model): &ModelKey,
+        work: Work,
+        avoid: &[Name],
+    ) -> Placement {
+        let catalog = self.catalog.clone();
+        let known = catalog.service(service);
+        let Some((known, engine)) = known.and_then(|s| s.engine.as_ref().map(|e| (s, e))) else {
+            return Placement::Nowhere;
+        };
+        let pace = engine
+            .models
+            .iter()
+            .find(|m| m.name == *model)
+            .map_or(1.0, |m| m.pace);
+        let usable = self
+            .roster
+            .heads(service, model)
+            .filter(|e| !avoid.contains(&e.id));
+        let mut doubtful: SmallVec<[Candidate; 4]> = SmallVec::new();
+        let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
+        for head in usable {
+            let candidate = Candidate {
+                id: head.id.clone(),
+                batch: self.batch(now, &head.id),
+                near: &*head.data_centre == data_centre,
+                slowness: 1.0,
+                spent: !self.has_cold_room(now, &head.id, known.cold_per_s),
+            };
+            match self.vitality(now, head) {
+                Vitality::Alive => candidates.push(candidate),
+                Vitality::Suspect => doubtful.push(candidate),
+                Vitality::Silent | Vitality::Dead => {}
+            }
+        }
+        let settings = PlaceSettings::default();
+        let chosen = if candidates.is_empty() {
+            &doubtful[..]
+        } else {
+            &candidates[..]
+        };
+        choose_head(&settings, engine, pace, chosen, work, &mut self.rng)
+    }
+
+    /// Chooses an endpoint of a plain service.
+    pub(crate) fn place_plain(
+        &mut self,
+        now: Time,
+        data_centre: &str,
+        service: &str,
+        tried: &[Name],
+    ) -> PlainChoice {
+        let mut endpoints: SmallVec<[PlainLoad; 8]> = SmallVec::new();
+        for endpoint in self.roster.of_service(service) {
+            let vitality = self.vitality(now, endpoint);
+            if vitality == Vitality::Dead {
+                continue;
+            }
+            endpoints.push(PlainLoad {
+                id: endpoint.id.clone(),
+                requests: self.batch(now, &endpoint.id).requests as u32,
+                slots: endpoint.slots,
+                near: &*endpoint.data_centre == data_centre,
+                suspect: vitality != Vitality::Alive,
+                tried: tried.contains(&endpoint.id),
+            });
+        }
+        choose_plain(&endpoints, &mut self.rng)
+    }
+
+    /// Counts a request in at an endpoint.
+    pub(crate) fn on_sent(&mut self, now: Time, id: &Name, unread: u32) {
+        let load = self.loads.entry(id.clone()).or_default();
+        if load.requests == 0 {
+            load.active = now;
+        }
+        load.requests += 1;
+        load.unread += unread;
+        self.cold.entry(id.clone()).or_default().on_sent(now);
+    }
+
+    /// Counts a request out at an endpoint.
+    pub(crate) fn on_done(&mut self, id: &Name) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.requests = load.requests.saturating_sub(1);
+        }
+    }
+
+    /// Takes the prompt of a request as read.
+    pub(crate) fn on_read(&mut self, id: &Name, unread: u32) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.unread = load.unread.saturating_sub(unread);
+        }
+    }
+
+    /// Takes one retry to a service out of the budget.
+    pub(crate) fn take_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
+        let entries = self.peers.entries(now);
+        self.budget(service, settings).take_retry(now, entries)
+    }
+
+    /// Returns this entry's part of the retry budget of a service.
+    pub(crate) fn budget(&mut self, service: &Name, settings: &Settings) -> &mut SharedBudget {
+        let fresh = || SharedBudget::new(settings.bounds.retries);
+        self.budgets.entry(service.clone()).or_insert_with(fresh)
+    }
+
+    /// Returns the line of requests for a model.
+    pub(crate) fn line(&mut self, key: &ModelKey) -> &mut Line {
+        let fresh = || Line {
+            waiting: WaitingLine::new(WaitingSettings::default()),
+            wakers: HashMap::new(),
+        };
+        self.lines.entry(key.clone()).or_insert_with(fresh)
+    }
+
+    /// Takes the loss of an endpoint that ran a request.
+    pub(crate) fn strike(&mut self, now: Time, fingerprint: Fingerprint, id: &Name, born: u64) {
+        let incident = stable_hash([id.as_bytes(), &born.to_be_bytes()]);
+        self.quarantine.strike(now, fingerprint, incident);
+    }
+}
+
+/// Part of a cold endpoint's rate that is used: entries that join or restart
+/// aren't counted among the sharers yet.
+const COLD_PART: f64 = 1.2;
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,401 @@
+//! Calls whose answer is a stream of events.
+//!
+//! The caller gets the head of the answer with the first event. A stream that
+//! breaks or stalls goes on at another head, after the last whole event that was
+//! passed on, within the one answer.
+
+use std::rc::Rc;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{Endpoint, Name, Placement, Turn};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use slog::info;
+use smallvec::SmallVec;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::attempt::{self, Failed, Flight, Halt, Patience, watched};
+use crate::body::CutShort;
+use crate::call::Call;
+use crate::events::{EventSplitter, Events};
+use crate::link::Link;
+use crate::node::{ModelKey, Node};
+use crate::outcome::{Refusal, RetryCause};
+
+/// Pieces that may wait for a slow caller before the endpoint is read no further.
+const PIECES_WAITING: usize = 16;
+/// Heads lost under one stream after which it isn't resumed again.
+const LOSSES_MOST: u8 = 3;
+
+/// What has happened to a stream so far.
+#[derive(Default)]
+pub(crate) struct Progress {
+    splitter: EventSplitter,
+    avoid: SmallVec<[Name; 4]>,
+    sends: u8,
+    losses: u8,
+    events: usize,
+}
+
+/// A stream whose first event is there.
+struct Running {
+    flight: Flight,
+    link: Link,
+    body: Incoming,
+}
+
+/// What an endpoint answered.
+enum Start {
+    Events(Parts, Events, Box<Running>),
+    /// An answer without events: a failure, or a stream that is empty.
+    Whole(Parts, Bytes, Name),
+}
+
+/// The answer to a streaming call.
+pub(crate) enum StreamAnswer {
+    /// The head and the pieces that follow.
+    Events(Parts, mpsc::Receiver<Result<Bytes, CutShort>>, Name),
+    /// A whole answer.
+    Whole(Parts, Bytes, Name),
+}
+
+/// Runs a streaming call until its first event, and lets the rest follow.
+pub(crate) async fn run(node: &Rc<Node>, call: Call) -> Result<StreamAnswer, (Call, Refusal)> {
+    let mut progress = Progress::default();
+    let started = start(node, &call, &mut progress).await;
+    match started {
+        Err(refusal) => Err((call, refusal)),
+        Ok(Start::Whole(parts, body, endpoint)) => Ok(StreamAnswer::Whole(parts, body, endpoint)),
+        Ok(Start::Events(parts, first, running)) => {
+            let (pieces, receiver) = mpsc::channel(PIECES_WAITING);
+            let endpoint = running.flight.endpoint.id.clone();
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                relay(&node, &call, progress, first, running, pieces).await;
+            });
+            Ok(StreamAnswer::Events(parts, receiver, endpoint))
+        }
+    }
+}
+
+/// Finds a head and gets the first event from it.
+async fn start(node: &Rc<Node>, call: &Call, progress: &mut Progress) -> Result<Start, Refusal> {
+    let mut refusal = Refusal::NoEndpoint;
+    loop {
+        let resumed = progress.sends > 0;
+        let endpoint = match place(node, call, &progress.avoid).await {
+            Ok(endpoint) => endpoint,
+            Err(reason) => return Err(if resumed { refusal } else { reason }),
+        };
+        if resumed {
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            if !state.take_retry(now, &call.service, &node.settings) {
+                return Err(refusal);
+            }
+        }
+        progress.avoid.push(endpoint.id.clone());
+        let failed = match once(node, call, progress, endpoint).await {
+            Ok(start) => return Ok(start),
+            Err(failed) => failed,
+        };
+        let cause = match failed {
+            Failed::TimedOut => return Err(Refusal::TimedOut),
+            Failed::NotRun(cause) => {
+                if refusal != Refusal::AnswerLost {
+                    refusal = Refusal::EndpointRefused;
+                }
+                cause
+            }
+            Failed::MayHaveRun(cause) => {
+                refusal = Refusal::AnswerLost;
+                if !call.route.is_idempotent() {
+                    return Err(refusal);
+                }
+                cause
+            }
+        };
+        match cause {
+            RetryCause::Unsent => {}
+            RetryCause::Broken | RetryCause::Silent => {
+                progress.sends += 1;
+                progress.losses += 1;
+            }
+            RetryCause::Refused | RetryCause::Misdirected | RetryCause::Failed => {
+                progress.sends += 1;
+            }
+        }
+        let answered = progress.sends.saturating_sub(progress.losses);
+        if progress.losses > LOSSES_MOST || answered >= call.route.attempts {
+            return Err(refusal);
+        }
+        node.metrics.on_retry(cause);
+        info!(node.log, "sent once more"; "request" => call.id_text(), "cause" => %cause, "sends" => progress.sends, "events" => progress.events, "last_event" => progress.splitter.last_id());
+    }
+}
+
+/// Takes a request out of its line when its caller leaves.
+struct InLine<'n> {
+    node: &'n Node,
+    key: &'n ModelKey,
+    id: u64,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        let line = state.line(self.key);
+        line.waiting.leave(self.id);
+        line.wakers.remove(&self.id);
+    }
+}
+
+/// Returns a head for the call, after a wait in line if all are full.
+async fn place(node: &Rc<Node>, call: &Call, avoid: &[Name]) -> Result<Endpoint, Refusal> {
+    let model = call.model.clone().ok_or(Refusal::BadRequest)?;
+    let key = (call.service.clone(), model);
+    let since = node.now();
+    let mut woken = false;
+    loop {
+        let now = node.now();
+        if now >= call.end {
+            return Err(Refusal::TimedOut);
+        }
+        let waiter = {
+            let mut state = node.state.borrow_mut();
+            let behind = !woken && !state.line(&key).waiting.is_empty();
+            let placed = match behind {
+                true => Placement::Full,
+                false => state.place(now, &node.settings.data_centre, &key, call.work, avoid),
+            };
+            match placed {
+                Placement::Head(id, _) => {
+                    state.line(&key).waiting.on_start(now);
+                    let found = state.roster.get(&id).cloned();
+                    node.metrics.on_wait(now.since(since));
+                    return found.ok_or(Refusal::NoEndpoint);
+                }
+                Placement::Nowhere => return Err(Refusal::NoEndpoint),
+                Placement::Full => join_line(&mut state, now, &key, call)?,
+            }
+        };
+        let (id, waiter) = waiter;
+        let guard = InLine {
+            node,
+            key: &key,
+            id,
+        };
+        let limit = node.clock.instant(call.end);
+        let answer = tokio::time::timeout_at(limit, waiter).await;
+        drop(guard);
+        woken = match answer {
+            Ok(Ok(true)) => true,
+            Ok(_) => return Err(Refusal::WaitedOut),
+            Err(_) => return Err(Refusal::TimedOut),
+        };
+    }
+}
+
+fn join_line(
+    state: &mut crate::node::State,
+    now: Time,
+    key: &ModelKey,
+    call: &Call,
+) -> Result<(u64, oneshot::Receiver<bool>), Refusal> {
+    state.next_turn += 1;
+    let id = state.next_turn;
+    let line = state.line(key);
+    let turn = Turn {
+        id,
+        urgency: call.urgency,
+        since: call.received,
+        objective: call.objective(),
+        deadline: call.end,
+    };
+    line.waiting
+        .join(now, turn)
+        .map_err(|_| Refusal::LineFull)?;
+    let (waker, waiter) = oneshot::channel();
+    line.wakers.insert(id, waker);
+    Ok((id, waiter))
+}
+
+fn patience(call: &Call) -> Patience {
+    match call.route.resumable {
+        true => Patience::UntilStalled,
+        false => Patience::UntilEnd,
+    }
+}
+
+/// Sends the call to a head and reads up to the first whole event.
+async fn once(
+    node: &Rc<Node>,
+    call: &Call,
+    progress: &mut Progress,
+    endpoint: Endpoint,
+) -> Result<Start, Failed> {
+    progress.splitter.drop_torn();
+    let mut flight = Flight::start(node, endpoint, call.work.prompt);
+    let endpoint = &flight.endpoint;
+    let last = progress.splitter.last_id();
+    let opened = attempt::send(node, call, endpoint, call.end, patience(call), last).await?;
+    let (parts, mut body) = opened.answer.into_parts();
+    let link = opened.link;
+    if !parts.status.is_success() {
+        let read = watched(node, endpoint, call.end, patience(call), body.collect()).await;
+        let Ok(Ok(body)) = read else {
+            return Err(Failed::MayHaveRun(RetryCause::Broken));
+        };
+        let retry = parts.status.is_server_error() && call.route.is_idempotent();
+        if retry && progress.sends + 1 < call.route.attempts {
+            return Err(Failed::MayHaveRun(RetryCause::Failed));
+        }
+        return Ok(Start::Whole(parts, body.to_bytes(), endpoint.id.clone()));
+    }
+    let splitter = &mut progress.splitter;
+    match next_events(node, call, &flight, &mut body, splitter).await {
+        Ok(Some(events)) => {
+            flight.on_first_event();
+            let running = Box::new(Running { flight, link, body });
+            Ok(Start::Events(parts, events, running))
+        }
+        Ok(None) => {
+            node.links.put(node.now(), &flight.endpoint, link);
+            Ok(Start::Whole(
+                parts,
+                Bytes::new(),
+                flight.endpoint.id.clone(),
+            ))
+        }
+        Err(failed) => Err(on_broken(node, call, &flight, failed)),
+    }
+}
+
+/// Notes why a stream can't go on at its head.
+fn on_broken(node: &Node, call: &Call, flight: &Flight, failed: Failed) -> Failed {
+    let endpoint = &flight.endpoint;
+    match failed {
+        Failed::MayHaveRun(RetryCause::Broken) => {
+            node.suspect(&endpoint.id, endpoint.born, "stream broke");
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            state.strike(now, call.fingerprint, &endpoint.id, endpoint.born);
+        }
+        Failed::MayHaveRun(RetryCause::Silent) => {
+            node.suspect(&endpoint.id, endpoint.born, "stream stalled");
+        }
+        _ => {}
+    }
+    failed
+}
+
+/// Reads until an event is whole. `None` is the end of the stream.
+async fn next_events(
+    node: &Node,
+    call: &Call,
+    flight: &Flight,
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+) -> Result<Option<Events>, Failed> {
+    let endpoint = &flight.endpoint;
+    loop {
+        let frame = watched(node, endpoint, call.end, patience(call), body.frame()).await;
+        let frame = frame.map_err(|halt| match halt {
+            Halt::Silent => Failed::MayHaveRun(RetryCause::Silent),
+            Halt::TimedOut => Failed::TimedOut,
+        })?;
+        let frame = match frame {
+            None if splitter.is_torn() => return Err(Failed::MayHaveRun(RetryCause::Broken)),
+            None => return Ok(None),
+            Some(Err(_)) => return Err(Failed::MayHaveRun(RetryCause::Broken)),
+            Some(Ok(frame)) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        node.on_life(&endpoint.id, endpoint.born);
+        match splitter.push(&data) {
+            Ok(Some(events)) => return Ok(Some(events)),
+            Ok(None) => {}
+            Err(_) => return Err(Failed::MayHaveRun(RetryCause::Broken)),
+        }
+    }
+}
+
+/// Passes events on until the stream ends, going on at other heads if need be.
+async fn relay(
+    node: &Rc<Node>,
+    call: &Call,
+    mut progress: Progress,
+    first: Events,
+    mut running: Box<Running>,
+    pieces: mpsc::Sender<Result<Bytes, CutShort>>,
+) {
+    progress.events = first.count;
+    if pieces.send(Ok(first.bytes)).await.is_err() {
+        return;
+    }
+    let outcome = loop {
+        let next = next_events(
+            node,
+            call,
+            &running.flight,
+            &mut running.body,
+            &mut progress.splitter,
+        );
+        let read = tokio::select! {
+            () = pieces.closed() => break "caller left",
+            read = next => read,
+        };
+        let failed = match read {
+            Ok(Some(events)) => {
+                progress.events += events.count;
+                if pieces.send(Ok(events.bytes)).await.is_err() {
+                    break "caller left";
+                }
+                continue;
+            }
+            Ok(None) => {
+                let Running { flight, link, .. } = *running;
+                node.links.put(node.now(), &flight.endpoint, link);
+                node.state
+                    .borrow_mut()
+                    .quarantine
+                    .on_end(call.fingerprint, true);
+                break "whole";
+            }
+            Err(failed) => on_broken(node, call, &running.flight, failed),
+        };
+        if matches!(failed, Failed::TimedOut) || !call.route.resumable {
+            let _ = pieces.send(Err(CutShort)).await;
+            break "cut";
+        }
+        drop(running);
+        progress.sends = progress.sends.max(1);
+        progress.losses += 1;
+        let again = tokio::select! {
+            () = pieces.closed() => break "caller left",
+            again = start(node, call, &mut progress) => again,
+        };
+        match again {
+            Ok(Start::Events(_, events, next)) => {
+                progress.events += events.count;
+                running = next;
+                if pieces.send(Ok(events.bytes)).await.is_err() {
+                    break "caller left";
+                }
+            }
+            // The endpoint had nothing to add after the last event.
+            Ok(Start::Whole(parts, body, _)) if parts.status.is_success() && body.is_empty() => {
+                break "whole";
+            }
+            Ok(Start::Whole(..)) | Err(_) => {
+                let _ = pieces.send(Err(CutShort)).await;
+                break "cut";
+            }
+        }
+    };
+    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "sends" => progress.sends + 1, "losses" => progress.losses, "took_ms" => node.now().since(call.received).as_millis() as u64);
+}
--- /dev/null
+++ b/crates/fleet/src/monitor.rs
@@ -0,0 +1,148 @@
+//! Which endpoints answer, from what requests and probes saw.
+//!
+//! Answers endpoints that die without a word and heads that stall because a
+//! member is lost: both show as silence on streams long before the store drops
+//! the record. Health checks may be wrong either way, so what requests saw goes
+//! first.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+
+use crate::Name;
+
+/// How long signs against an endpoint count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MonitorSettings {
+    /// Time for which a failed request or a stall keeps new work away.
+    pub suspicion: Duration,
+    /// Probes in a row without an answer that show an endpoint to be silent.
+    pub silent_probes: u32,
+}
+
+impl Default for MonitorSettings {
+    fn default() -> Self {
+        Self {
+            suspicion: Duration::from_millis(1_500),
+            silent_probes: 2,
+        }
+    }
+}
+
+/// What is believed of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub enum Vitality {
+    /// Nothing speaks against it.
+    Alive,
+    /// Requests failed or stalled there a moment ago.
+    Suspect,
+    /// It doesn't answer probes: dead, or cut off from this entry.
+    Silent,
+    /// Its VM refuses connections: this incarnation has ended.
+    Dead,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Signs {
+    born: u64,
+    suspected: Option<Time>,
+    failed_probes: u32,
+    refused: u32,
+}
+
+/// Refused connections in a row that show an incarnation to have ended.
+const REFUSALS_TO_DEAD: u32 = 2;
+
+/// Signs for and against every endpoint.
+#[derive(Debug, Default)]
+pub struct Monitor {
+    settings: MonitorSettings,
+    signs: HashMap<Name, Signs>,
+}
+
+impl Monitor {
+    /// A monitor that knows nothing.
+    #[must_use]
+    pub fn new(settings: MonitorSettings) -> Self {
+        Self {
+            settings,
+            signs: HashMap::new(),
+        }
+    }
+
+    fn signs(&mut self, id: &Name, born: u64) -> &mut Signs {
+        let signs = self.signs.entry(id.clone()).or_default();
+        if signs.born != born {
+            *signs = Signs {
+                born,
+                ..Signs::default()
+            };
+        }
+        signs
+    }
+
+    /// Takes a sign of life: an answer, an event or a report.
+    pub fn on_life(&mut self, id: &Name, born: u64) {
+        *self.signs(id, born) = Signs {
+            born,
+            ..Signs::default()
+        };
+    }
+
+    /// Takes the answer to a probe: the VM lives, whatever its group does.
+    pub fn on_probe_answer(&mut self, id: &Name, born: u64) {
+        let signs = self.signs(id, born);
+        signs.failed_probes = 0;
+        signs.refused = 0;
+    }
+
+    /// Takes a failed or stalled request. Returns whether this is new.
+    pub fn on_failure(&mut self, now: Time, id: &Name, born: u64) -> bool {
+        let window = self.settings.suspicion;
+        let signs = self.signs(id, born);
+        let new = signs.suspected.is_none_or(|t| now.since(t) >= window);
+        signs.suspected = Some(now);
+        new
+    }
+
+    /// Takes a connection that was refused.
+    pub fn on_refused(&mut self, now: Time, id: &Name, born: u64) {
+        let signs = self.signs(id, born);
+        signs.suspected = Some(now);
+        signs.refused += 1;
+        signs.failed_probes += 1;
+    }
+
+    /// Takes a probe without an answer.
+    pub fn on_silence(&mut self, now: Time, id: &Name, born: u64) {
+        let signs = self.signs(id, born);
+        signs.suspected = Some(now);
+        signs.failed_probes += 1;
+    }
+
+    /// Returns what is believed of an endpoint.
+    #[must_use]
+    pub fn vitality(&self, now: Time, id: &str, born: u64) -> Vitality {
+        let Some(signs) = self.signs.get(id).filter(|s| s.born == born) else {
+            return Vitality::Alive;
+        };
+        if signs.refused >= REFUSALS_TO_DEAD {
+            return Vitality::Dead;
+        }
+        if signs.failed_probes >= self.settings.silent_probes {
+            return Vitality::Silent;
+        }
+        let recent = |t: Time| now.since(t) < self.settings.suspicion;
+        if signs.suspected.is_some_and(recent) {
+            return Vitality::Suspect;
+        }
+        Vitality::Alive
+    }
+
+    /// Forgets endpoints that are no longer in the roster.
+    pub fn forget(&mut self, id: &str) {
+        self.signs.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pace.rs
@@ -0,0 +1,45 @@
+//! The engines' published pace: how long a step, a prompt and a first token take.
+
+use std::time::Duration;
+
+use crate::catalog::Engine;
+
+/// Work of one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens that the answer is expected to have.
+    pub answer: u32,
+}
+
+/// What runs on a head.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// Requests that run or wait there.
+    pub requests: f64,
+    /// Prompt tokens that are not read yet.
+    pub unread: f64,
+}
+
+/// Returns the time of one token step with this many writing requests.
+#[must_use]
+pub fn step_time(engine: &Engine, pace: f64, writers: f64) -> Duration {
+    let ms = (engine.step_ms + engine.per_seq_ms * writers) * pace;
+    Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
+}
+
+/// Returns the expected time to the first token of one more request on a head.
+///
+/// Unread prompts are read in order between the passes of the writers, so each
+/// of them delays the newcomer by its own reading time and a pass.
+#[must_use]
+pub fn first_token(engine: &Engine, pace: f64, batch: Batch, work: Work) -> Duration {
+    let tokens = batch.unread + f64::from(work.prompt);
+    let pairs = f64::from(work.prompt).powi(2) / 2.0 / 1e6 * engine.pairs_per_m;
+    let reading_ms = tokens / engine.read_per_s.max(1.0) * 1_000.0 + pairs;
+    let reading = Duration::from_secs_f64(reading_ms * pace / 1_000.0);
+    let writers = batch.requests.min(f64::from(engine.slots));
+    let pass = step_time(engine, pace, writers) * engine.stride.max(1);
+    reading + pass
+}
--- /dev/null
+++ b/crates/fleet/src/place.rs
@@ -0,0 +1,124 @@
+//! Which head gets a request.
+//!
+//! Answers uneven batches: the candidates are compared by the expected time to
+//! the first token with all that the entries have in flight there, over a random
+//! half of the heads, so that entries with the same delayed view spread out.
+
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use rand::{Rng, RngExt as _};
+use smallvec::SmallVec;
+
+use crate::Name;
+use crate::catalog::Engine;
+use crate::pace::{Batch, Work, first_token, step_time};
+
+/// Weights of the choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceSettings {
+    /// Heads that are compared at least.
+    pub least: usize,
+    /// Output tokens whose time counts beside the first token's.
+    pub tokens: u32,
+    /// Penalty for a head in another data centre.
+    pub distance: Duration,
+}
+
+impl Default for PlaceSettings {
+    fn default() -> Self {
+        Self {
+            least: 4,
+            tokens: 20,
+            distance: Duration::from_millis(12),
+        }
+    }
+}
+
+/// A head that could take a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Name of the head's VM.
+    pub id: Name,
+    /// What all entries have in flight there.
+    pub batch: Batch,
+    /// Whether it is in this entry's data centre.
+    pub near: bool,
+    /// Factor by which it was slower than published a moment ago.
+    pub slowness: f64,
+    /// Whether its cold allowance is used up.
+    pub spent: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Placement {
+    /// To this head, with the expected time to the first token.
+    Head(Name, Duration),
+    /// Every head is full: it waits.
+    Full,
+    /// No head of the model can be used.
+    Nowhere,
+}
+
+/// Chooses a head for a request of a model with this pace.
+pub fn choose_head(
+    settings: &PlaceSettings,
+    engine: &Engine,
+    pace: f64,
+    candidates: &[Candidate],
+    work: Work,
+    rng: &mut impl Rng,
+) -> Placement {
+    if candidates.is_empty() {
+        return Placement::Nowhere;
+    }
+    let slots = f64::from(engine.slots);
+    let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
+    let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
+    let looked_at = settings.least.max(open.len().div_ceil(2)).min(open.len());
+    for i in 0..looked_at {
+        let other = rng.random_range(i..open.len());
+        open.swap(i, other);
+    }
+    let cost = |c: &Candidate| {
+        let pace = pace * c.slowness;
+        let first = first_token(engine, pace, c.batch, work);
+        let steps = step_time(engine, pace, c.batch.requests + 1.0) * settings.tokens;
+        let way = if c.near {
+            Duration::ZERO
+        } else {
+            settings.distance
+        };
+        (first, first + steps + way)
+    };
+    let costs = open.iter().take(looked_at).map(|c| (cost(c), *c));
+    let best = costs.min_by_key(|((_, total), _)| *total);
+    match best {
+        Some(((first, _), head)) => Placement::Head(head.id.clone(), first),
+        None => Placement::Full,
+    }
+}
+
+/// Requests per second to one cold endpoint, as this entry's part.
+#[derive(Clone, Debug, Default)]
+pub struct ColdAllowance {
+    sent: SmallVec<[Time; 8]>,
+}
+
+impl ColdAllowance {
+    /// Returns whether another request may be sent within the last second.
+    #[must_use]
+    pub fn has_room(&self, now: Time, per_s: f64, entries: usize) -> bool {
+        let second = Duration::from_secs(1);
+        let sent = self.sent.iter().filter(|t| now.since(**t) < second).count();
+        let part = (per_s / entries.max(1) as f64).max(1.0);
+        (sent as f64) < part.floor()
+    }
+
+    /// Counts a request.
+    pub fn on_sent(&mut self, now: Time) {
+        self.sent.retain(|t| now.since(*t) < Duration::from_secs(1));
+        self.sent.push(now);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,441 @@
+//! Which groups there should be, and the orders that bring them about.
+//!
+//! The plan is stored before any order that depends on it, and orders follow
+//! from the difference between the plan and what VMs report, so a planner that
+//! dies costs a takeover and no state. Invariants:
+//!
+//! - One list of members has one epoch, and epochs only grow. A VM refuses an
+//!   epoch lower than one that it has seen, so a late order to join is harmless.
+//! - A VM joins a group only after the head of its former group has left that
+//!   group or is gone: a late order to open then finds no group.
+//! - A head is opened only after every member reported ready for that epoch.
+//!
+//! Answers the loss of single members under load: a spare VM whose host has the
+//! weights takes the place of a lost one. See `docs/SYSTEM.md`.
+
+mod forming;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+
+use crate::Name;
+use crate::catalog::{Engine, Model, Service};
+use crate::endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
+use crate::monitor::Vitality;
+use crate::orders::{Order, OrderAnswer, OrderKind};
+use crate::plan::{GroupPlan, Plan};
+
+/// How groups are formed and repaired.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupSettings {
+    /// Part of the VMs that is kept as spares.
+    pub spare_part: f64,
+    /// Time after which an unanswered order is given again.
+    pub resend: Duration,
+    /// Time that an accepted order has to show in a report.
+    pub settle: Duration,
+    /// Time after which a head that finishes its requests is made to leave.
+    pub closing: Duration,
+}
+
+impl Default for GroupSettings {
+    fn default() -> Self {
+        Self {
+            spare_part: 0.15,
+            resend: Duration::from_millis(700),
+            settle: Duration::from_millis(1_500),
+            closing: Duration::from_secs(7),
+        }
+    }
+}
+
+/// How many loads from the shared store may begin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadLimits {
+    /// Whether callers have sent requests yet; before, loads aren't limited per second.
+    pub in_traffic: bool,
+    /// Part of the published rate that is used.
+    pub rate_part: f64,
+}
+
+/// A VM as the planner sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct VmView<'a> {
+    /// Its record.
+    pub endpoint: &'a Endpoint,
+    /// Whether it answers.
+    pub vitality: Vitality,
+    /// Whether its data centre is out of service.
+    pub evacuated: bool,
+}
+
+impl VmView<'_> {
+    fn is_lost(&self) -> bool {
+        matches!(self.vitality, Vitality::Dead | Vitality::Silent)
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.is_lost() && !self.evacuated && self.endpoint.phase == EndpointPhase::Ready
+    }
+
+    fn membership(&self) -> Option<&Membership> {
+        self.endpoint.membership.as_ref()
+    }
+
+    fn is_in(&self, group: &GroupPlan) -> bool {
+        self.membership()
+            .is_some_and(|m| *m.group == *group.name && m.epoch == group.epoch)
+    }
+
+    fn has_staged(&self, model: &str) -> bool {
+        self.endpoint.staged.iter().any(|m| &**m == model)
+    }
+}
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Store this plan; no order may be given before it is stored.
+    Store(Plan),
+    /// Give these orders.
+    Orders(Vec<Order>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at: Time,
+    epoch: u64,
+    label: &'static str,
+    answer: Option<OrderAnswer>,
+}
+
+/// Views by the name of the VM.
+type Vms<'a> = BTreeMap<&'a str, VmView<'a>>;
+
+/// Forms and repairs the groups of every service with engines.
+#[derive(Debug)]
+pub struct Planner {
+    settings: GroupSettings,
+    sent: HashMap<Name, Sent>,
+    closing: HashMap<Name, Time>,
+    loads: Vec<Time>,
+    loading: HashMap<Name, (Time, Duration)>,
+}
+
+impl Planner {
+    /// A planner that has given no orders.
+    #[must_use]
+    pub fn new(settings: GroupSettings) -> Self {
+        Self {
+            settings,
+            sent: HashMap::new(),
+            closing: HashMap::new(),
+            loads: Vec::new(),
+            loading: HashMap::new(),
+        }
+    }
+
+    /// Forgets which orders were given, for instance after a pause.
+    pub fn reset(&mut self) {
+        self.sent.clear();
+        self.closing.clear();
+    }
+
+    /// Decides what to do next for one service.
+    pub fn step(
+        &mut self,
+        now: Time,
+        service: &Service,
+        plan: &Plan,
+        views: &[VmView<'_>],
+        limits: LoadLimits,
+    ) -> Step {
+        let Some(engine) = &service.engine else {
+            return Step::Orders(Vec::new());
+        };
+        let own = views.iter().filter(|v| v.endpoint.service == service.name);
+        let vms: Vms<'_> = own.map(|v| (&*v.endpoint.id, *v)).collect();
+        let better = forming::revise(self.settings, engine, &service.name, plan, &vms);
+        if let Some(plan) = better {
+            return Step::Store(plan);
+        }
+        Step::Orders(self.orders(now, service, engine, plan, &vms, limits))
+    }
+
+    /// Takes the answer to an order.
+    pub fn on_answer(&mut self, order: &Order, answer: OrderAnswer) {
+        if let Some(sent) = self.sent.get_mut(&order.endpoint)
+            && sent.label == order.kind.label()
+        {
+            sent.answer = Some(answer);
+        }
+        let refused = matches!(
+            answer,
+            OrderAnswer::Conflict
+                | OrderAnswer::Outdated
+                | OrderAnswer::Misdirected
+                | OrderAnswer::Refused
+        );
+        if refused {
+            self.loading.remove(&order.endpoint);
+        }
+    }
+
+    fn orders(
+        &mut self,
+        now: Time,
+        service: &Service,
+        engine: &Engine,
+        plan: &Plan,
+        vms: &Vms<'_>,
+        limits: LoadLimits,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.closing.retain(|id, _| vms.contains_key(&**id));
+        for vm in vms.values().filter(|v| !v.is_lost()) {
+            orders.extend(self.part_from_old_group(now, engine, plan, vms, vm));
+        }
+        self.drop_finished_loads(now, vms);
+        let groups = plan.groups.iter().filter(|g| *g.service == *service.name);
+        for group in forming::by_nearness(groups, vms) {
+            let Some(model) = engine.models.iter().find(|m| *m.name == *group.model) else {
+                continue;
+            };
+            self.bring_up(now, engine, model, group, vms, limits, &mut orders);
+        }
+        self.stage_spares(now, engine, plan, vms, limits, &mut orders);
+        orders
+    }
+
+    /// Makes a head leave a group that the plan doesn't hold (any more).
+    fn part_from_old_group(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        plan: &Plan,
+        vms: &Vms<'_>,
+        vm: &VmView<'_>,
+    ) -> Option<Order> {
+        let membership = vm.membership()?;
+        let planned = plan
+            .groups
+            .iter()
+            .any(|g| vm.is_in(g) && g.has(&vm.endpoint.id));
+        if planned || !membership.is_head() {
+            self.closing.remove(&vm.endpoint.id);
+            return None;
+        }
+        let same = |v: &&VmView<'_>| {
+            !v.is_lost()
+                && v.membership()
+                    .is_some_and(|m| m.group == membership.group && m.epoch == membership.epoch)
+        };
+        let present = vms.values().filter(same).count();
+        let model = vm.endpoint.model.as_deref();
+        let size = engine.models.iter().find(|m| Some(&*m.name) == model);
+        let whole = size.is_some_and(|m| present >= m.size);
+        let since = *self.closing.entry(vm.endpoint.id.clone()).or_insert(now);
+        let overdue = now.since(since) >= self.settings.closing;
+        let kind = match membership.state {
+            GroupState::Open if whole && !overdue => OrderKind::Close,
+            GroupState::Closing if whole && !overdue => return None,
+            _ => OrderKind::Leave,
+        };
+        self.give(now, vm.endpoint, &membership.group, membership.epoch, kind)
+    }
+
+    /// Gives the next orders that a planned group needs.
+    #[allow(clippy::too_many_arguments)]
+    fn bring_up(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        model: &Model,
+        group: &GroupPlan,
+        vms: &Vms<'_>,
+        limits: LoadLimits,
+        orders: &mut Vec<Order>,
+    ) {
+        let members: Vec<&VmView<'_>> = group
+            .members
+            .iter()
+            .filter_map(|m| vms.get(m.id.as_str()))
+            .collect();
+        if members.len() < group.members.len() || members.iter().any(|v| v.is_lost()) {
+            return;
+        }
+        let names: Vec<Name> = members.iter().map(|v| v.endpoint.id.clone()).collect();
+        let name: Name = group.name.as_str().into();
+        for vm in members.iter().filter(|v| !v.is_in(group)) {
+            if !is_free_to_join(vm, vms) || !self.may_load(now, engine, model, vm, limits) {
+                continue;
+            }
+            let kind = OrderKind::Join {
+                model: model.name.clone(),
+                members: names.clone(),
+            };
+            if let Some(order) = self.give(now, vm.endpoint, &name, group.epoch, kind) {
+                self.on_load(now, model, vm);
+                orders.push(order);
+            }
+        }
+        let ready = |v: &&VmView<'_>| {
+            v.is_in(group)
+                && v.membership()
+                    .is_some_and(|m| m.state != GroupState::Joining)
+        };
+        let head = members[0];
+        let waits = head.is_in(group)
+            && head
+                .membership()
+                .is_some_and(|m| m.state == GroupState::Ready);
+        if waits && members.iter().all(ready) {
+            orders.extend(self.give(now, head.endpoint, &name, group.epoch, OrderKind::Open));
+        }
+    }
+
+    /// Loads weights onto the hosts of spares, so that they can stand in quickly.
+    fn stage_spares(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        plan: &Plan,
+        vms: &Vms<'_>,
+        limits: LoadLimits,
+        orders: &mut Vec<Order>,
+    ) {
+        for (vm, model) in forming::staging(engine, plan, vms) {
+            if !self.may_load(now, engine, model, vm, limits) {
+                return;
+            }
+            let kind = OrderKind::Stage {
+                model: model.name.clone(),
+            };
+            if let Some(order) = self.give(now, vm.endpoint, &Name::from(""), 0, kind) {
+                self.on_load(now, model, vm);
+                orders.push(order);
+            }
+        }
+    }
+
+    fn may_load(
+        &self,
+        now: Time,
+        engine: &Engine,
+        model: &Model,
+        vm: &VmView<'_>,
+        limits: LoadLimits,
+    ) -> bool {
+        if vm.has_staged(&model.name) || self.loading.contains_key(&vm.endpoint.id) {
+            return true;
+        }
+        if self.loading.len() >= engine.loads_at_once.max(1) {
+            return false;
+        }
+        let second = Duration::from_secs(1);
+        let recent = self
+            .loads
+            .iter()
+            .filter(|t| now.since(**t) < second)
+            .count();
+        let rate = (engine.loads_per_s * limits.rate_part).max(1.0);
+        !limits.in_traffic || ((recent + 1) as f64) <= rate
+    }
+
+    fn on_load(&mut self, now: Time, model: &Model, vm: &VmView<'_>) {
+        if vm.has_staged(&model.name) || self.loading.contains_key(&vm.endpoint.id) {
+            return;
+        }
+        self.loads
+            .retain(|t| now.since(*t) < Duration::from_secs(1));
+        self.loads.push(now);
+        let limit = model.load * 2;
+        self.loading.insert(vm.endpoint.id.clone(), (now, limit));
+    }
+
+    fn drop_finished_loads(&mut self, now: Time, vms: &Vms<'_>) {
+        let settle = self.settings.settle;
+        self.loading.retain(|id, (since, limit)| {
+            let Some(vm) = vms.get(&**id).filter(|v| !v.is_lost()) else {
+                return false;
+            };
+            let age = now.since(*since);
+            let joining = vm
+                .membership()
+                .is_some_and(|m| m.state == GroupState::Joining);
+            let loaded = !vm.endpoint.staged.is_empty() && !joining && age > settle;
+            age < *limit && !loaded
+        });
+    }
+
+    /// Returns the order unless the same one was given a moment ago.
+    fn give(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        group: &Name,
+        epoch: u64,
+        kind: OrderKind,
+    ) -> Option<Order> {
+        let label = kind.label();
+        if let Some(sent) = self.sent.get(&endpoint.id)
+            && sent.epoch == epoch
+            && sent.label == label
+        {
+            let wait = match sent.answer {
+                Some(OrderAnswer::Begun | OrderAnswer::Done) => self.settings.settle,
+                _ => self.settings.resend,
+            };
+            if now.since(sent.at) < wait {
+                return None;
+            }
+        }
+        let sent = Sent {
+            at: now,
+            epoch,
+            label,
+            answer: None,
+        };
+        self.sent.insert(endpoint.id.clone(), sent);
+        Some(Order {
+            endpoint: endpoint.id.clone(),
+            address: endpoint.address,
+            group: group.clone(),
+            epoch,
+            kind,
+        })
+    }
+}
+
+/// Returns whether the head of a VM's former group has left that group or is gone.
+fn is_free_to_join(vm: &VmView<'_>, vms: &Vms<'_>) -> bool {
+    let Some(old) = vm.membership() else {
+        return true;
+    };
+    if old.is_head() {
+        return false;
+    }
+    let is_head = |v: &&VmView<'_>| {
+        v.membership()
+            .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
+    };
+    vms.values()
+        .find(is_head)
+        .is_none_or(|head| head.vitality == Vitality::Dead)
+}
+
+/// Returns whether a VM can't join another group because the head of its former
+/// group is silent: it may be cut off from this entry and serve on.
+fn is_held(vm: &VmView<'_>, vms: &Vms<'_>) -> bool {
+    let Some(old) = vm.membership().filter(|m| !m.is_head()) else {
+        return false;
+    };
+    let silent_head = |v: &VmView<'_>| {
+        v.vitality == Vitality::Silent
+            && v.membership()
+                .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
+    };
+    vms.values().any(silent_head)
+}
--- /dev/null
+++ b/crates/fleet/src/planner/forming.rs
@@ -0,0 +1,272 @@
+//! Which VMs form which groups.
+
+use std::collections::BTreeMap;
+
+use super::{GroupSettings, VmView, Vms, is_held};
+use crate::catalog::{Engine, Model};
+use crate::endpoint::{EndpointPhase, GroupState};
+use crate::plan::{GroupPlan, MemberPlan, Plan};
+
+/// Returns a better plan, or `None` if the present one needs no change.
+pub(super) fn revise(
+    settings: GroupSettings,
+    engine: &Engine,
+    service: &str,
+    plan: &Plan,
+    vms: &Vms<'_>,
+) -> Option<Plan> {
+    let mut next = plan.clone();
+    set_wanted(settings, engine, vms, &mut next);
+    repair(engine, service, vms, &mut next);
+    form(engine, service, vms, &mut next);
+    (next != *plan).then_some(next)
+}
+
+/// Sets the number of groups of each model from its share of the work. The number
+/// only grows: the loss of VMs makes no group superfluous.
+fn set_wanted(settings: GroupSettings, engine: &Engine, vms: &Vms<'_>, plan: &mut Plan) {
+    let usable = vms.values().filter(|v| !v.is_lost()).count() as f64;
+    let total: f64 = engine.models.iter().map(|m| m.share).sum();
+    for model in &engine.models {
+        let part = model.share / if total > 0.0 { total } else { 1.0 };
+        let serving = usable * (1.0 - settings.spare_part) * part;
+        let groups = (serving / model.size.max(1) as f64).round().max(1.0) as usize;
+        let wanted = plan.wanted.entry(model.name.to_string()).or_default();
+        *wanted = (*wanted).max(groups);
+    }
+}
+
+/// Replaces lost and leaving members, or gives up groups that can't be mended.
+fn repair(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+    let mut index = 0;
+    while index < plan.groups.len() {
+        if plan.groups[index].service != service {
+            index += 1;
+            continue;
+        }
+        match mend(engine, vms, plan, index) {
+            Mended::Kept => index += 1,
+            Mended::Replaced(members) => {
+                let epoch = plan.draw_epoch();
+                let group = &mut plan.groups[index];
+                group.epoch = epoch;
+                group.members = members;
+                index += 1;
+            }
+            Mended::Hopeless => {
+                plan.groups.remove(index);
+            }
+        }
+    }
+}
+
+enum Mended {
+    Kept,
+    Replaced(Vec<MemberPlan>),
+    Hopeless,
+}
+
+fn mend(engine: &Engine, vms: &Vms<'_>, plan: &Plan, index: usize) -> Mended {
+    let group = &plan.groups[index];
+    if !engine.models.iter().any(|m| *m.name == *group.model) {
+        return Mended::Hopeless;
+    }
+    let present = |m: &&MemberPlan| {
+        let vm = vms.get(m.id.as_str());
+        vm.is_some_and(|v| v.endpoint.born == m.born && !v.is_lost())
+    };
+    let stays = |m: &&MemberPlan| {
+        let vm = vms.get(m.id.as_str());
+        present(m) && vm.is_some_and(|v| v.endpoint.phase == EndpointPhase::Ready)
+    };
+    let lost = group.members.iter().filter(|m| !present(m)).count();
+    let kept: Vec<&MemberPlan> = group.members.iter().filter(stays).collect();
+    let missing = group.members.len() - kept.len();
+    if missing == 0 {
+        return Mended::Kept;
+    }
+    let evacuated = kept.iter().any(|m| vms[m.id.as_str()].evacuated);
+    let held = kept.iter().any(|m| is_held(&vms[m.id.as_str()], vms));
+    let Some(anchor) = kept.first().filter(|_| !evacuated && !held) else {
+        return if lost > 0 {
+            Mended::Hopeless
+        } else {
+            Mended::Kept
+        };
+    };
+    let domain = &vms[anchor.id.as_str()].endpoint.domain;
+    let mut spares = free_in(vms, plan, domain);
+    spares.sort_by_key(|v| (!v.has_staged(&group.model), !v.endpoint.cold.is_zero()));
+    if spares.len() < missing {
+        let head_leaves = group.members[0].id != anchor.id;
+        let goes_on = lost == 0 && !head_leaves;
+        return if goes_on {
+            Mended::Kept
+        } else {
+            Mended::Hopeless
+        };
+    }
+    let mut members: Vec<MemberPlan> = kept.into_iter().cloned().collect();
+    members.extend(spares.iter().take(missing).map(member));
+    Mended::Replaced(members)
+}
+
+/// Forms the groups that are wanted and missing.
+fn form(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+    loop {
+        let mut models: Vec<(&Model, f64)> = engine
+            .models
+            .iter()
+            .map(|m| (m, shortage(m, vms, plan)))
+            .filter(|(_, shortage)| *shortage > 0.0)
+            .collect();
+        models.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let found = models
+            .iter()
+            .find_map(|(m, _)| best_members(m, vms, plan).map(|members| (*m, members)));
+        let Some((model, members)) = found else {
+            return;
+        };
+        let epoch = plan.draw_epoch();
+        plan.groups.push(GroupPlan {
+            name: format!("{service}-{epoch}"),
+            service: service.to_owned(),
+            model: model.name.to_string(),
+            epoch,
+            members,
+        });
+    }
+}
+
+/// Returns the missing part of a model's wanted groups. Groups in data centres
+/// out of service don't count.
+fn shortage(model: &Model, vms: &Vms<'_>, plan: &Plan) -> f64 {
+    let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
+    let in_service = |g: &&GroupPlan| {
+        let mut members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
+        *g.model == *model.name && members.all(|v| !v.evacuated)
+    };
+    let present = plan.groups.iter().filter(in_service).count();
+    wanted.saturating_sub(present) as f64 / wanted.max(1) as f64
+}
+
+/// Returns members of one domain for a new group: in the data centre with the
+/// fewest groups of the model, where most hosts have the weights.
+fn best_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
+    let mut per_centre: BTreeMap<&str, usize> = BTreeMap::new();
+    for group in plan.groups.iter().filter(|g| *g.model == *model.name) {
+        if let Some(head) = vms.get(group.members[0].id.as_str()) {
+            *per_centre.entry(&head.endpoint.data_centre).or_default() += 1;
+        }
+    }
+    let mut domains: Vec<&str> = vms.values().map(|v| &*v.endpoint.domain).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let mut best = None;
+    for domain in domains {
+        let mut free = free_in(vms, plan, domain);
+        if free.len() < model.size {
+            continue;
+        }
+        free.sort_by_key(|v| {
+            let other = !v.has_staged(&model.name) && !v.endpoint.staged.is_empty();
+            (!v.has_staged(&model.name), other, v.endpoint.id.clone())
+        });
+        let unstaged = free
+            .iter()
+            .take(model.size)
+            .filter(|v| !v.has_staged(&model.name));
+        let unstaged = unstaged.count();
+        let here = per_centre
+            .get(&*free[0].endpoint.data_centre)
+            .copied()
+            .unwrap_or(0);
+        let rank = (unstaged > 0, here, unstaged, usize::MAX - free.len());
+        if best.as_ref().is_none_or(|(old, _)| rank < *old) {
+            let members = free.iter().take(model.size).map(member).collect();
+            best = Some((rank, members));
+        }
+    }
+    best.map(|(_, members)| members)
+}
+
+fn member(vm: &&VmView<'_>) -> MemberPlan {
+    MemberPlan {
+        id: vm.endpoint.id.to_string(),
+        born: vm.endpoint.born,
+    }
+}
+
+/// Returns the VMs of a domain that no group has and that can be used.
+fn free_in<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan, domain: &str) -> Vec<&'a VmView<'v>> {
+    let free = |v: &&VmView<'_>| {
+        *v.endpoint.domain == *domain
+            && v.is_usable()
+            && plan.group_of(&v.endpoint.id).is_none()
+            && !is_held(v, vms)
+    };
+    vms.values().filter(free).collect()
+}
+
+/// Orders groups by how little they lack to serve, so that few loads at a time
+/// complete whole groups one after the other.
+pub(super) fn by_nearness<'p>(
+    groups: impl Iterator<Item = &'p GroupPlan>,
+    vms: &Vms<'_>,
+) -> Vec<&'p GroupPlan> {
+    let lacking = |g: &GroupPlan| {
+        let done = |v: &&VmView<'_>| v.is_in(g) || v.has_staged(&g.model);
+        let members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
+        g.members.len() - members.filter(done).count()
+    };
+    let mut sorted: Vec<&GroupPlan> = groups.collect();
+    sorted.sort_by_key(|g| (lacking(g), g.epoch));
+    sorted
+}
+
+/// Returns spares without weights, with the model that each should load: the one
+/// with the most members for each spare that has it in the domain.
+pub(super) fn staging<'a, 'v, 'e>(
+    engine: &'e Engine,
+    plan: &Plan,
+    vms: &'a Vms<'v>,
+) -> Vec<(&'a VmView<'v>, &'e Model)> {
+    let mut spares: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut members: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut empty = Vec::new();
+    for vm in vms.values().filter(|v| v.is_usable()) {
+        let domain = &*vm.endpoint.domain;
+        match plan.group_of(&vm.endpoint.id) {
+            Some(group) => {
+                let model = engine.models.iter().find(|m| *m.name == *group.model);
+                if let Some(model) = model {
+                    *members.entry((domain, &model.name)).or_default() += 1;
+                }
+            }
+            None if vm.endpoint.staged.is_empty() => empty.push(vm),
+            None => {
+                for model in &vm.endpoint.staged {
+                    *spares.entry((domain, model)).or_default() += 1;
+                }
+            }
+        }
+    }
+    let mut chosen = Vec::new();
+    for vm in empty {
+        let joining = vm
+            .membership()
+            .is_some_and(|m| m.state == GroupState::Joining);
+        let domain = &*vm.endpoint.domain;
+        let need = |m: &&Model| {
+            let used = members.get(&(domain, &*m.name)).copied().unwrap_or(0);
+            let spare = spares.get(&(domain, &*m.name)).copied().unwrap_or(0);
+            used * 100 / (spare + 1)
+        };
+        let Some(model) = engine.models.iter().max_by_key(need).filter(|_| !joining) else {
+            continue;
+        };
+        *spares.entry((domain, &*model.name)).or_default() += 1;
+        chosen.push((vm, model));
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,180 @@
+//! The endpoints that the store names, and the data centres out of service.
+//!
+//! Records that lapsed while the store was away come back shortly after its
+//! return, so a removal that is seen around an outage takes effect only after a
+//! grace period. A removal at any other time takes effect at once.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+
+use crate::Name;
+use crate::endpoint::{Endpoint, EndpointPhase};
+
+/// Time after the store's return within which lapsed records come back.
+const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+
+/// What a new record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum RosterChange {
+    /// The endpoint wasn't known.
+    Added,
+    /// Another incarnation of the endpoint.
+    Reborn,
+    /// The same incarnation says something else.
+    Updated,
+    /// Nothing is new.
+    Same,
+}
+
+/// What is known of every endpoint.
+#[derive(Debug, Default)]
+pub struct Roster {
+    endpoints: HashMap<Name, Endpoint>,
+    removals: HashMap<Name, Time>,
+    evacuated: BTreeSet<Name>,
+    store_lost: bool,
+    store_back: Option<Time>,
+}
+
+impl Roster {
+    /// Takes an endpoint's record.
+    pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
+        self.removals.remove(&endpoint.id);
+        let id = endpoint.id.clone();
+        match self.endpoints.insert(id, endpoint) {
+            None => RosterChange::Added,
+            Some(old) => {
+                let new = &self.endpoints[&old.id];
+                if new.born != old.born {
+                    RosterChange::Reborn
+                } else if *new == old {
+                    RosterChange::Same
+                } else {
+                    RosterChange::Updated
+                }
+            }
+        }
+    }
+
+    /// Takes notice that the store holds no record of this endpoint any more.
+    /// Returns whether it was dropped at once.
+    pub fn remove(&mut self, now: Time, id: &str) -> bool {
+        let Some((name, _)) = self.endpoints.get_key_value(id) else {
+            return false;
+        };
+        if self.is_unsettled(now) {
+            self.removals.entry(name.clone()).or_insert(now);
+            return false;
+        }
+        self.endpoints.remove(id);
+        true
+    }
+
+    /// Takes a complete list of the endpoints' names: the others were removed.
+    pub fn retain(&mut self, now: Time, listed: &BTreeSet<Name>) -> Vec<Name> {
+        let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
+        let missing: Vec<Name> = missing.cloned().collect();
+        missing
+            .into_iter()
+            .filter(|id| self.remove(now, id))
+            .collect()
+    }
+
+    /// Takes notice that the store doesn't answer.
+    pub fn on_store_lost(&mut self) {
+        self.store_lost = true;
+    }
+
+    /// Takes notice that the store answers again.
+    pub fn on_store_back(&mut self, now: Time) {
+        if self.store_lost {
+            self.store_lost = false;
+            self.store_back = Some(now);
+        }
+    }
+
+    /// Carries out the removals whose grace period is over.
+    pub fn settle(&mut self, now: Time) -> Vec<Name> {
+        if self.is_unsettled(now) || self.removals.is_empty() {
+            return Vec::new();
+        }
+        let gone: Vec<Name> = self.removals.drain().map(|(id, _)| id).collect();
+        for id in &gone {
+            self.endpoints.remove(id);
+        }
+        gone
+    }
+
+    fn is_unsettled(&self, now: Time) -> bool {
+        self.store_lost
+            || self
+                .store_back
+                .is_some_and(|back| now.since(back) < RETURN_GRACE)
+    }
+
+    /// Takes the data centres that are out of service.
+    pub fn set_evacuated(&mut self, data_centres: BTreeSet<Name>) {
+        self.evacuated = data_centres;
+    }
+
+    /// Takes one data centre out of service or back.
+    pub fn evacuate(&mut self, data_centre: Name, out: bool) {
+        if out {
+            self.evacuated.insert(data_centre);
+        } else {
+            self.evacuated.remove(&data_centre);
+        }
+    }
+
+    /// Returns whether a data centre is out of service.
+    #[must_use]
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Returns whether an endpoint may get new work.
+    #[must_use]
+    pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        endpoint.phase == EndpointPhase::Ready
+            && !self.is_evacuated(&endpoint.data_centre)
+            && !self.removals.contains_key(&endpoint.id)
+    }
+
+    /// Returns an endpoint's record.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns an endpoint's record, to merge a direct report into.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// Returns every endpoint.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns the endpoints of a service that may get new work.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
+        let all = self.endpoints.values();
+        all.filter(move |e| &*e.service == service && self.takes_work(e))
+    }
+
+    /// Returns the open heads of a model's groups that may get new work.
+    pub fn heads<'a>(
+        &'a self,
+        service: &'a str,
+        model: &'a str,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.of_service(service).filter(move |e| {
+            let open = e.membership.as_ref();
+            let open = open.is_some_and(|m| m.is_head() && m.state == crate::GroupState::Open);
+            open && e.model.as_deref() == Some(model)
+        })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/waiting.rs
@@ -0,0 +1,152 @@
+//! Where requests wait when every head is full, and who is turned away.
+//!
+//! Answers a load beyond the heads' capacity: work that can still be answered on
+//! time goes first, by urgency and then by the end of its objective; work that is
+//! late anyway follows when nothing else waits. What can't start before it is
+//! useless is turned away as soon as that is known, with the time at which the
+//! line is expected to be shorter.
+
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+
+/// Bounds of a line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitingSettings {
+    /// Requests that wait at most.
+    pub most: usize,
+    /// Part of a request's time that it may wait.
+    pub patience: f64,
+}
+
+impl Default for WaitingSettings {
+    fn default() -> Self {
+        Self {
+            most: 512,
+            patience: 0.4,
+        }
+    }
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    /// Number of the request within this process.
+    pub id: u64,
+    /// Rank; 0 is the most urgent.
+    pub urgency: u8,
+    /// When it came.
+    pub since: Time,
+    /// Moment by which its first event is on time.
+    pub objective: Time,
+    /// Moment at which its caller leaves.
+    pub deadline: Time,
+}
+
+impl Turn {
+    fn give_up(&self, patience: f64) -> Time {
+        self.since + self.deadline.since(self.since).mul_f64(patience)
+    }
+}
+
+/// Starts that are remembered to tell how fast the line moves.
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+
+/// Requests that wait for a head of one model.
+#[derive(Debug, Default)]
+pub struct WaitingLine {
+    settings: WaitingSettings,
+    turns: Vec<Turn>,
+    starts: std::collections::VecDeque<Time>,
+}
+
+impl WaitingLine {
+    /// An empty line.
+    #[must_use]
+    pub fn new(settings: WaitingSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Returns whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Counts a request that started, from the line or at once.
+    pub fn on_start(&mut self, now: Time) {
+        self.starts.push_back(now);
+        while self
+            .starts
+            .front()
+            .is_some_and(|t| now.since(*t) > RATE_WINDOW)
+        {
+            self.starts.pop_front();
+        }
+    }
+
+    /// Returns how long a request at this place of the line is expected to wait.
+    #[must_use]
+    pub fn expected_wait(&self, now: Time, ahead: usize) -> Duration {
+        let recent = self.starts.iter().filter(|t| now.since(**t) <= RATE_WINDOW);
+        let rate = recent.count().max(1) as f64 / RATE_WINDOW.as_secs_f64();
+        Duration::from_secs_f64(ahead as f64 / rate)
+    }
+
+    /// Lets a request wait, or returns when its caller should come back.
+    ///
+    /// # Errors
+    ///
+    /// The time after which a place is expected, if it can't wait that long.
+    pub fn join(&mut self, now: Time, turn: Turn) -> Result<(), Duration> {
+        let ahead = self
+            .turns
+            .iter()
+            .filter(|t| t.urgency <= turn.urgency)
+            .count();
+        let wait = self.expected_wait(now, ahead);
+        let too_late = now + wait >= turn.give_up(self.settings.patience);
+        if self.turns.len() >= self.settings.most || (too_late && ahead > 0) {
+            return Err(wait);
+        }
+        self.turns.push(turn);
+        Ok(())
+    }
+
+    /// Takes the next request out of the line. `first` is the expected time from
+    /// its start to its first event.
+    pub fn next(&mut self, now: Time, first: Duration) -> Option<Turn> {
+        let order = |t: &Turn| {
+            let late = now + first > t.objective;
+            let end = if late { t.deadline } else { t.objective };
+            (late, t.urgency, end)
+        };
+        let best = (0..self.turns.len()).min_by_key(|i| order(&self.turns[*i]))?;
+        Some(self.turns.swap_remove(best))
+    }
+
+    /// Takes a request out of the line because its caller left.
+    pub fn leave(&mut self, id: u64) -> bool {
+        let before = self.turns.len();
+        self.turns.retain(|t| t.id != id);
+        before != self.turns.len()
+    }
+
+    /// Takes the requests out of the line that have waited too long.
+    pub fn overdue(&mut self, now: Time) -> Vec<Turn> {
+        let patience = self.settings.patience;
+        let late = |t: &Turn| now >= t.give_up(patience);
+        let (out, stay) = self.turns.drain(..).partition(late);
+        self.turns = stay;
+        out
+    }
+}
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -6,8 +6,8 @@
 
 use bulrushhoist_cli::set_service;
 use bulrushhoist_core::{ServiceState, VmRecord};
-use bulrushhoist_platform::{HttpPlatform, Store};
 use bulrushhoist_standin::{PlatformFaults, VmFault};
+use bulrushhoist_store::{HttpPlatform, Store};
 use tokio::time::Instant;
 
 use crate::options::RunOptions;
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -7,7 +7,7 @@
 use bulrushhoist_cli::apply_files;
 use bulrushhoist_core::{Deployment, SourceFile, VmName, check_files};
 use bulrushhoist_daemon::{CallerLimits, Daemon, LogSettings, Security, Settings, Timing, logger};
-use bulrushhoist_platform::{HttpPlatform, Store};
+use bulrushhoist_store::{HttpPlatform, Store};
 use tokio::time::Instant;
 
 use crate::endpoint::{Farm, FarmLayout, FarmSettings, VmFault};
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushhoist_core::{ObjectKey, VmRecord};
-use bulrushhoist_platform::{Cursor, Listing, RawObject, Version};
+use bulrushhoist_store::{Cursor, Listing, RawObject, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::sync::Notify;
