--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 
 /// Time within which an endpoint reports.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
 /// Time within which an endpoint answers an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Bytes of an answer at most.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,8 +28,8 @@
 use crate::store::StoreClient;
 
 /// Silence of all streams at a head after which it counts as stalled. A pass of
-/// a full batch with a piece of a prompt takes about a fifth of this.
-pub(crate) const STALL_SILENCE: Duration = Duration::from_millis(600);
+/// a full batch that also reads a piece of a prompt at each step takes about 300 ms.
+pub(crate) const STALL_SILENCE: Duration = Duration::from_millis(450);
 /// Time for which a suspicion is told to the other entries.
 const SUSPICION_NEWS: Duration = Duration::from_millis(1_500);
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -28,6 +28,10 @@
     pub epoch: u64,
     /// The members; the first is the head.
     pub members: Vec<MemberPlan>,
+    /// Whether this is a single spare VM that keeps the model loaded and is never
+    /// opened: a VM whose last group had the model joins the next one quickly.
+    #[serde(default)]
+    pub standby: bool,
 }
 
 impl GroupPlan {
@@ -58,9 +62,15 @@
         self.epoch
     }
 
-    /// Returns the group that a VM is planned into.
+    /// Returns the group that a VM is planned into, other than on standby.
     #[must_use]
     pub fn group_of(&self, id: &str) -> Option<&GroupPlan> {
-        self.groups.iter().find(|g| g.has(id))
+        self.groups.iter().find(|g| !g.standby && g.has(id))
+    }
+
+    /// Takes VMs off standby because they become members of a group.
+    pub fn end_standby(&mut self, members: &[MemberPlan]) {
+        let taken = |g: &GroupPlan| g.standby && members.iter().any(|m| g.has(&m.id));
+        self.groups.retain(|g| !taken(g));
     }
 }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -89,6 +89,19 @@
             .is_some_and(|m| *m.group == *group.name && m.epoch == group.epoch)
     }
 
+    /// Returns how far the VM is from having a model loaded; 0 is nearest.
+    fn distance_to(&self, model: &str) -> u8 {
+        if self.endpoint.model.as_deref() == Some(model) {
+            0
+        } else if self.has_staged(model) {
+            1
+        } else if self.endpoint.staged.is_empty() {
+            2
+        } else {
+            3
+        }
+    }
+
     fn has_staged(&self, model: &str) -> bool {
         self.endpoint.staged.iter().any(|m| &**m == model)
     }
@@ -121,9 +134,25 @@
     sent: HashMap<Name, Sent>,
     closing: HashMap<Name, Time>,
     loads: Vec<Time>,
-    loading: HashMap<Name, (Time, Duration)>,
+    loading: HashMap<Name, Loading>,
+}
+
+/// A load from the shared store that an order began.
+#[derive(Clone, Debug)]
+struct Loading {
+    model: Name,
+    since: Time,
+    limit: Duration,
 }
 
+/// Loads at once before callers come, as a multiple of those that don't slow each
+/// other: loads that begin before then are short.
+const EARLY_LOADS: usize = 3;
+
+/// Part of the names of standby groups, by which every planner knows that no head
+/// of them was ever told to open.
+pub(crate) const STANDBY_MARK: &str = "-standby-";
+
 impl Planner {
     /// A planner that has given no orders.
     #[must_use]
@@ -205,7 +234,6 @@
             };
             self.bring_up(now, engine, model, group, vms, limits, &mut orders);
         }
-        self.stage_spares(now, engine, plan, vms, limits, &mut orders);
         orders
     }
 
@@ -223,7 +251,7 @@
             .groups
             .iter()
             .any(|g| vm.is_in(g) && g.has(&vm.endpoint.id));
-        if planned || !membership.is_head() {
+        if planned || !membership.is_head() || is_standby(membership) {
             self.closing.remove(&vm.endpoint.id);
             return None;
         }
@@ -286,6 +314,9 @@
                 && v.membership()
                     .is_some_and(|m| m.state != GroupState::Joining)
         };
+        if group.standby {
+            return;
+        }
         let head = members[0];
         let waits = head.is_in(group)
             && head
@@ -296,30 +327,6 @@
         }
     }
 
-    /// Loads weights onto the hosts of spares, so that they can stand in quickly.
-    fn stage_spares(
-        &mut self,
-        now: Time,
-        engine: &Engine,
-        plan: &Plan,
-        vms: &Vms<'_>,
-        limits: LoadLimits,
-        orders: &mut Vec<Order>,
-    ) {
-        for (vm, model) in forming::staging(engine, plan, vms) {
-            if !self.may_load(now, engine, model, vm, limits) {
-                return;
-            }
-            let kind = OrderKind::Stage {
-                model: model.name.clone(),
-            };
-            if let Some(order) = self.give(now, vm.endpoint, &Name::from(""), 0, kind) {
-                self.on_load(now, model, vm);
-                orders.push(order);
-            }
-        }
-    }
-
     fn may_load(
         &self,
         now: Time,
@@ -331,7 +338,11 @@
         if vm.has_staged(&model.name) || self.loading.contains_key(&vm.endpoint.id) {
             return true;
         }
-        if self.loading.len() >= engine.loads_at_once.max(1) {
+        let at_once = match limits.in_traffic {
+            true => engine.loads_at_once,
+            false => engine.loads_at_once * EARLY_LOADS,
+        };
+        if self.loading.len() >= at_once.max(1) {
             return false;
         }
         let second = Duration::from_secs(1);
@@ -351,22 +362,19 @@
         self.loads
             .retain(|t| now.since(*t) < Duration::from_secs(1));
         self.loads.push(now);
-        let limit = model.load * 2;
-        self.loading.insert(vm.endpoint.id.clone(), (now, limit));
+        let loading = Loading {
+            model: model.name.clone(),
+            since: now,
+            limit: model.load * 2,
+        };
+        self.loading.insert(vm.endpoint.id.clone(), loading);
     }
 
     fn drop_finished_loads(&mut self, now: Time, vms: &Vms<'_>) {
-        let settle = self.settings.settle;
-        self.loading.retain(|id, (since, limit)| {
-            let Some(vm) = vms.get(&**id).filter(|v| !v.is_lost()) else {
-                return false;
-            };
-            let age = now.since(*since);
-            let joining = vm
-                .membership()
-                .is_some_and(|m| m.state == GroupState::Joining);
-            let loaded = !vm.endpoint.staged.is_empty() && !joining && age > settle;
-            age < *limit && !loaded
+        self.loading.retain(|id, loading| {
+            let vm = vms.get(&**id).filter(|v| !v.is_lost());
+            let unfinished = vm.is_some_and(|v| !v.has_staged(&loading.model));
+            unfinished && now.since(loading.since) < loading.limit
         });
     }
 
@@ -409,11 +417,18 @@
     }
 }
 
+fn is_standby(membership: &Membership) -> bool {
+    membership.group.contains(STANDBY_MARK)
+}
+
 /// Returns whether the head of a VM's former group has left that group or is gone.
 fn is_free_to_join(vm: &VmView<'_>, vms: &Vms<'_>) -> bool {
     let Some(old) = vm.membership() else {
         return true;
     };
+    if is_standby(old) {
+        return true;
+    }
     if old.is_head() {
         return false;
     }
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{GroupSettings, VmView, Vms, is_held};
+use super::{GroupSettings, STANDBY_MARK, VmView, Vms, is_held};
 use crate::catalog::{Engine, Model};
-use crate::endpoint::{EndpointPhase, GroupState};
+use crate::endpoint::EndpointPhase;
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
 /// Returns a better plan, or `None` if the present one needs no change.
@@ -19,6 +19,7 @@
     set_wanted(settings, engine, vms, &mut next);
     repair(engine, service, vms, &mut next);
     form(engine, service, vms, &mut next);
+    stand_by(engine, service, vms, &mut next);
     (next != *plan).then_some(next)
 }
 
@@ -40,7 +41,7 @@
 fn repair(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
     let mut index = 0;
     while index < plan.groups.len() {
-        if plan.groups[index].service != service {
+        if plan.groups[index].service != service || plan.groups[index].standby {
             index += 1;
             continue;
         }
@@ -50,8 +51,9 @@
                 let epoch = plan.draw_epoch();
                 let group = &mut plan.groups[index];
                 group.epoch = epoch;
-                group.members = members;
-                index += 1;
+                group.members.clone_from(&members);
+                plan.end_standby(&members);
+                index = 0;
             }
             Mended::Hopeless => {
                 plan.groups.remove(index);
@@ -96,7 +98,7 @@
     };
     let domain = &vms[anchor.id.as_str()].endpoint.domain;
     let mut spares = free_in(vms, plan, domain);
-    spares.sort_by_key(|v| (!v.has_staged(&group.model), !v.endpoint.cold.is_zero()));
+    spares.sort_by_key(|v| (v.distance_to(&group.model), !v.endpoint.cold.is_zero()));
     if spares.len() < missing {
         let head_leaves = group.members[0].id != anchor.id;
         let goes_on = lost == 0 && !head_leaves;
@@ -128,12 +130,14 @@
             return;
         };
         let epoch = plan.draw_epoch();
+        plan.end_standby(&members);
         plan.groups.push(GroupPlan {
             name: format!("{service}-{epoch}"),
             service: service.to_owned(),
             model: model.name.to_string(),
             epoch,
             members,
+            standby: false,
         });
     }
 }
@@ -144,7 +148,7 @@
     let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
     let in_service = |g: &&GroupPlan| {
         let mut members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
-        *g.model == *model.name && members.all(|v| !v.evacuated)
+        !g.standby && *g.model == *model.name && members.all(|v| !v.evacuated)
     };
     let present = plan.groups.iter().filter(in_service).count();
     wanted.saturating_sub(present) as f64 / wanted.max(1) as f64
@@ -154,7 +158,11 @@
 /// fewest groups of the model, where most hosts have the weights.
 fn best_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
     let mut per_centre: BTreeMap<&str, usize> = BTreeMap::new();
-    for group in plan.groups.iter().filter(|g| *g.model == *model.name) {
+    for group in plan
+        .groups
+        .iter()
+        .filter(|g| !g.standby && *g.model == *model.name)
+    {
         if let Some(head) = vms.get(group.members[0].id.as_str()) {
             *per_centre.entry(&head.endpoint.data_centre).or_default() += 1;
         }
@@ -168,10 +176,7 @@
         if free.len() < model.size {
             continue;
         }
-        free.sort_by_key(|v| {
-            let other = !v.has_staged(&model.name) && !v.endpoint.staged.is_empty();
-            (!v.has_staged(&model.name), other, v.endpoint.id.clone())
-        });
+        free.sort_by_key(|v| (v.distance_to(&model.name), v.endpoint.id.clone()));
         let unstaged = free
             .iter()
             .take(model.size)
@@ -220,53 +225,61 @@
         g.members.len() - members.filter(done).count()
     };
     let mut sorted: Vec<&GroupPlan> = groups.collect();
-    sorted.sort_by_key(|g| (lacking(g), g.epoch));
+    sorted.sort_by_key(|g| (g.standby, lacking(g), g.epoch));
     sorted
 }
 
-/// Returns spares without weights, with the model that each should load: the one
-/// with the most members for each spare that has it in the domain.
-pub(super) fn staging<'a, 'v, 'e>(
-    engine: &'e Engine,
-    plan: &Plan,
-    vms: &'a Vms<'v>,
-) -> Vec<(&'a VmView<'v>, &'e Model)> {
+/// Lets every spare VM keep a model loaded: the one that its host has, or the one
+/// with the most members for each spare of the domain.
+fn stand_by(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+    let usable = |m: &MemberPlan| {
+        let vm = vms.get(m.id.as_str());
+        vm.is_some_and(|v| v.is_usable() && v.endpoint.born == m.born)
+    };
+    let own = |g: &GroupPlan| g.standby && g.service == service;
+    plan.groups
+        .retain(|g| !own(g) || g.members.iter().all(usable));
     let mut spares: BTreeMap<(&str, &str), usize> = BTreeMap::new();
     let mut members: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-    let mut empty = Vec::new();
-    for vm in vms.values().filter(|v| v.is_usable()) {
-        let domain = &*vm.endpoint.domain;
-        match plan.group_of(&vm.endpoint.id) {
-            Some(group) => {
-                let model = engine.models.iter().find(|m| *m.name == *group.model);
-                if let Some(model) = model {
-                    *members.entry((domain, &model.name)).or_default() += 1;
-                }
-            }
-            None if vm.endpoint.staged.is_empty() => empty.push(vm),
-            None => {
-                for model in &vm.endpoint.staged {
-                    *spares.entry((domain, model)).or_default() += 1;
-                }
+    for group in plan.groups.iter().filter(|g| g.service == service) {
+        let Some(model) = engine.models.iter().find(|m| *m.name == *group.model) else {
+            continue;
+        };
+        for member in &group.members {
+            if let Some(vm) = vms.get(member.id.as_str()) {
+                let counts = if group.standby {
+                    &mut spares
+                } else {
+                    &mut members
+                };
+                *counts
+                    .entry((&vm.endpoint.domain, &model.name))
+                    .or_default() += 1;
             }
         }
     }
-    let mut chosen = Vec::new();
-    for vm in empty {
-        let joining = vm
-            .membership()
-            .is_some_and(|m| m.state == GroupState::Joining);
+    let in_none =
+        |v: &&VmView<'_>| v.is_usable() && !plan.groups.iter().any(|g| g.has(&v.endpoint.id));
+    let idle: Vec<&VmView<'_>> = vms.values().filter(in_none).collect();
+    for vm in idle {
         let domain = &*vm.endpoint.domain;
         let need = |m: &&Model| {
             let used = members.get(&(domain, &*m.name)).copied().unwrap_or(0);
             let spare = spares.get(&(domain, &*m.name)).copied().unwrap_or(0);
-            used * 100 / (spare + 1)
+            (vm.has_staged(&m.name), used * 100 / (spare + 1))
         };
-        let Some(model) = engine.models.iter().max_by_key(need).filter(|_| !joining) else {
-            continue;
+        let Some(model) = engine.models.iter().max_by_key(need) else {
+            return;
         };
         *spares.entry((domain, &*model.name)).or_default() += 1;
-        chosen.push((vm, model));
+        let epoch = plan.draw_epoch();
+        plan.groups.push(GroupPlan {
+            name: format!("{service}{STANDBY_MARK}{epoch}"),
+            service: service.to_owned(),
+            model: model.name.to_string(),
+            epoch,
+            members: vec![member(&vm)],
+            standby: true,
+        });
     }
-    chosen
 }
