Keep survivors out of new groups until a departed head has left; short watches; strict attempts

Change: watches for configuration and endpoints wait 1.5 s; a head without a record is told to leave before its members join elsewhere, and nothing is ordered until lapsed records had time to come back; a request runs at MaxAttempts endpoints at most.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -10,7 +10,8 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Catalog, Endpoint, GroupSettings, LoadLimits, Name, Plan, Planner, Step, Vitality, VmView,
+    Catalog, Endpoint, GroupSettings, LoadLimits, Name, Order, OrderAnswer, Plan, Planner, Step,
+    Vitality, VmView,
 };
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
@@ -41,6 +42,9 @@
 /// a peer that has just started can be heard.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
 
+/// Unanswered orders after which a departed head is taken for gone.
+const DEPARTED_TRIES: u32 = 2;
+
 /// The plan as it was last read or written.
 #[derive(Clone, Debug, Default)]
 struct Stored {
@@ -54,6 +58,8 @@
     links: ControlLinks,
     planner: RefCell<Planner>,
     probed: RefCell<BTreeMap<Name, Time>>,
+    /// Unanswered orders to heads whose records were removed.
+    unreached: RefCell<BTreeMap<Name, u32>>,
 }
 
 /// Plans for ever.
@@ -63,6 +69,7 @@
         links: ControlLinks::default(),
         planner: RefCell::new(Planner::new(GroupSettings::default())),
         probed: RefCell::default(),
+        unreached: RefCell::default(),
     };
     let mut stored: Option<Stored> = None;
     let mut first_chance: Option<Time> = None;
@@ -135,6 +142,16 @@
     /// Takes one step with every service that has engines. Returns what is stored,
     /// or `None` if it must be read again.
     async fn advance(&self, mut stored: Stored) -> Option<Stored> {
+        let unsettled = self
+            .node
+            .state
+            .borrow()
+            .roster
+            .is_unsettled(self.node.now());
+        if unsettled && !stored.plan.groups.is_empty() {
+            // Heads without a record may be back in a moment.
+            return Some(stored);
+        }
         let catalog = self.node.state.borrow().catalog.clone();
         self.probe(&stored.plan).await;
         for service in catalog.services().filter(|s| s.engine.is_some()) {
@@ -161,8 +178,16 @@
                 endpoint,
                 vitality: state.monitor.vitality(now, &endpoint.id, endpoint.born),
                 evacuated: state.roster.is_evacuated(&endpoint.data_centre),
+                departed: false,
             })
             .collect();
+        let departed = state.roster.departed().filter(|e| *e.service == *service);
+        views.extend(departed.map(|endpoint| VmView {
+            endpoint,
+            vitality: Vitality::Suspect,
+            evacuated: false,
+            departed: true,
+        }));
         let silent = views
             .iter()
             .filter(|v| v.vitality == Vitality::Silent)
@@ -215,13 +240,12 @@
     }
 
     /// Gives orders to several endpoints at once.
-    async fn give(&self, plan: &Plan, orders: Vec<bulrushhoist_fleet::Order>) {
+    async fn give(&self, plan: &Plan, orders: Vec<Order>) {
         let node = &self.node;
         let fence = node.settings.bounds.fencing.then_some(plan.epoch);
         let mut given = FuturesUnordered::new();
         for order in orders {
-            let found = node.state.borrow().roster.get(&order.endpoint).cloned();
-            let Some(endpoint) = found else {
+            let Some(endpoint) = self.receiver(&order) else {
                 continue;
             };
             given.push(async move {
@@ -231,6 +255,32 @@
         }
         while let Some((order, answer)) = given.next().await {
             self.planner.borrow_mut().on_answer(&order, answer);
+            self.settle_departed(&order, answer);
+        }
+    }
+
+    fn receiver(&self, order: &Order) -> Option<Endpoint> {
+        let state = self.node.state.borrow();
+        let known = state.roster.get(&order.endpoint);
+        let mut departed = state.roster.departed();
+        known
+            .or_else(|| departed.find(|e| e.id == order.endpoint))
+            .cloned()
+    }
+
+    /// Forgets a departed head once it has left its group or can't be reached.
+    fn settle_departed(&self, order: &Order, answer: OrderAnswer) {
+        let mut state = self.node.state.borrow_mut();
+        if state.roster.departed().all(|e| e.id != order.endpoint) {
+            return;
+        }
+        let mut unreached = self.unreached.borrow_mut();
+        let tries = unreached.entry(order.endpoint.clone()).or_default();
+        *tries += 1;
+        if answer != OrderAnswer::Unknown || *tries >= DEPARTED_TRIES {
+            unreached.remove(&order.endpoint);
+            state.roster.forget_departed(&order.endpoint);
+            info!(self.node.log, "departed head settled"; "endpoint" => &*order.endpoint, "answer" => %answer);
         }
     }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -20,7 +20,7 @@
 /// Time within which a call that doesn't wait for changes is answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time that an answer to a watch may take beyond the time that it waits.
-const WATCH_SLACK: Duration = Duration::from_millis(1_500);
+const WATCH_SLACK: Duration = Duration::from_millis(600);
 /// Bytes of an answer at most: a page of a list holds about one megabyte.
 const ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -26,16 +26,18 @@
 
 /// Pieces that may wait for a slow caller before the endpoint is read no further.
 const PIECES_WAITING: usize = 16;
-/// Heads lost under one stream after which it isn't resumed again.
-const LOSSES_MOST: u8 = 3;
+/// Endpoints that may refuse a stream before its caller is refused.
+const REFUSALS_MOST: u8 = 1;
 
 /// What has happened to a stream so far.
 #[derive(Default)]
 pub(crate) struct Progress {
     splitter: EventSplitter,
     avoid: SmallVec<[Name; 4]>,
-    sends: u8,
-    losses: u8,
+    /// Endpoints that may have run it.
+    runs: u8,
+    /// Endpoints that refused it without running it.
+    refusals: u8,
     events: usize,
 }
 
@@ -84,7 +86,7 @@
 async fn start(node: &Rc<Node>, call: &Call, progress: &mut Progress) -> Result<Start, Refusal> {
     let mut refusal = Refusal::NoEndpoint;
     loop {
-        let resumed = progress.sends > 0;
+        let resumed = progress.runs + progress.refusals > 0;
         let endpoint = match place(node, call, &progress.avoid).await {
             Ok(endpoint) => endpoint,
             Err(reason) => return Err(if resumed { refusal } else { reason }),
@@ -119,20 +121,14 @@
         };
         match cause {
             RetryCause::Unsent => {}
-            RetryCause::Broken | RetryCause::Silent => {
-                progress.sends += 1;
-                progress.losses += 1;
-            }
-            RetryCause::Refused | RetryCause::Misdirected | RetryCause::Failed => {
-                progress.sends += 1;
-            }
+            RetryCause::Refused | RetryCause::Misdirected => progress.refusals += 1,
+            RetryCause::Broken | RetryCause::Silent | RetryCause::Failed => progress.runs += 1,
         }
-        let answered = progress.sends.saturating_sub(progress.losses);
-        if progress.losses > LOSSES_MOST || answered >= call.route.attempts {
+        if progress.runs >= call.route.attempts || progress.refusals > REFUSALS_MOST {
             return Err(refusal);
         }
         node.metrics.on_retry(cause);
-        info!(node.log, "sent once more"; "request" => call.id_text(), "cause" => %cause, "sends" => progress.sends, "events" => progress.events, "last_event" => progress.splitter.last_id());
+        info!(node.log, "sent once more"; "request" => call.id_text(), "cause" => %cause, "runs" => progress.runs, "refusals" => progress.refusals, "events" => progress.events, "last_event" => progress.splitter.last_id());
     }
 }
 
@@ -249,7 +245,7 @@
             return Err(Failed::MayHaveRun(RetryCause::Broken));
         };
         let retry = parts.status.is_server_error() && call.route.is_idempotent();
-        if retry && progress.sends + 1 < call.route.attempts {
+        if retry && progress.runs + 1 < call.route.attempts {
             return Err(Failed::MayHaveRun(RetryCause::Failed));
         }
         return Ok(Start::Whole(parts, body.to_bytes(), endpoint.id.clone()));
@@ -373,8 +369,11 @@
             break "cut";
         }
         drop(running);
-        progress.sends = progress.sends.max(1);
-        progress.losses += 1;
+        progress.runs += 1;
+        if progress.runs >= call.route.attempts {
+            let _ = pieces.send(Err(CutShort)).await;
+            break "cut";
+        }
         let again = tokio::select! {
             () = pieces.closed() => break "caller left",
             again = start(node, call, &mut progress) => again,
@@ -397,5 +396,5 @@
             }
         }
     };
-    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "sends" => progress.sends + 1, "losses" => progress.losses, "took_ms" => node.now().since(call.received).as_millis() as u64);
+    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "runs" => progress.runs + 1, "took_ms" => node.now().since(call.received).as_millis() as u64);
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -15,9 +15,13 @@
 use crate::peers::{self, PeerSocket};
 use crate::store::StoreError;
 
-/// Longest time that a watch waits. It bounds the time in which a silent store
-/// is noticed.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Longest time that a watch for changes with a short deadline waits. A watch that
+/// was dropped without a word is noticed only after it.
+const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
+/// Longest time that a watch for evacuations waits.
+const WATCH_WAIT_MEDIUM: Duration = Duration::from_secs(3);
+/// Longest time that a watch for changes of the entries waits.
+const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
 /// Pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause between failed calls.
@@ -36,6 +40,14 @@
     pub(crate) incarnation: u64,
 }
 
+const fn watch_wait(kind: ObjectKind) -> Duration {
+    match kind {
+        ObjectKind::Configuration | ObjectKind::Endpoints => WATCH_WAIT_SHORT,
+        ObjectKind::Evacuations => WATCH_WAIT_MEDIUM,
+        ObjectKind::Entries | ObjectKind::Plans => WATCH_WAIT_LONG,
+    }
+}
+
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(node: Rc<Node>, socket: Rc<PeerSocket>, kind: ObjectKind) {
     let mut pause = RETRY_PAUSE;
@@ -74,7 +86,7 @@
     loop {
         match node
             .store
-            .watch(&mut link, kind, revision, WATCH_WAIT)
+            .watch(&mut link, kind, revision, watch_wait(kind))
             .await
         {
             Ok(changes) => {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -69,11 +69,13 @@
     pub vitality: Vitality,
     /// Whether its data centre is out of service.
     pub evacuated: bool,
+    /// Whether the store holds no record of it any more.
+    pub departed: bool,
 }
 
 impl VmView<'_> {
     fn is_lost(&self) -> bool {
-        matches!(self.vitality, Vitality::Dead | Vitality::Silent)
+        self.departed || matches!(self.vitality, Vitality::Dead | Vitality::Silent)
     }
 
     fn is_usable(&self) -> bool {
@@ -223,7 +225,7 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.closing.retain(|id, _| vms.contains_key(&**id));
-        for vm in vms.values().filter(|v| !v.is_lost()) {
+        for vm in vms.values().filter(|v| v.departed || !v.is_lost()) {
             orders.extend(self.part_from_old_group(now, engine, plan, vms, vm));
         }
         self.drop_finished_loads(now, vms);
@@ -267,6 +269,7 @@
         let since = *self.closing.entry(vm.endpoint.id.clone()).or_insert(now);
         let overdue = now.since(since) >= self.settings.closing;
         let kind = match membership.state {
+            _ if vm.departed => OrderKind::Leave,
             GroupState::Open if whole && !overdue => OrderKind::Close,
             GroupState::Closing if whole && !overdue => return None,
             _ => OrderKind::Leave,
@@ -448,7 +451,7 @@
         return false;
     };
     let silent_head = |v: &VmView<'_>| {
-        v.vitality == Vitality::Silent
+        (v.departed || v.vitality == Vitality::Silent)
             && v.membership()
                 .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
     };
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -10,7 +10,7 @@
 use bulrushhoist_core::Time;
 
 use crate::Name;
-use crate::endpoint::{Endpoint, EndpointPhase};
+use crate::endpoint::{Endpoint, EndpointPhase, Membership};
 
 /// Time after the store's return within which lapsed records come back.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
@@ -34,6 +34,7 @@
 pub struct Roster {
     endpoints: HashMap<Name, Endpoint>,
     removals: HashMap<Name, Time>,
+    departed: HashMap<Name, Endpoint>,
     evacuated: BTreeSet<Name>,
     store_lost: bool,
     store_back: Option<Time>,
@@ -43,6 +44,7 @@
     /// Takes an endpoint's record.
     pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
         self.removals.remove(&endpoint.id);
+        self.departed.remove(&endpoint.id);
         let id = endpoint.id.clone();
         match self.endpoints.insert(id, endpoint) {
             None => RosterChange::Added,
@@ -69,10 +71,36 @@
             self.removals.entry(name.clone()).or_insert(now);
             return false;
         }
-        self.endpoints.remove(id);
+        self.depart(id);
         true
     }
 
+    /// Drops a record. A head is remembered: it may be cut off from the store only
+    /// and still serve, and its members must not join another group until then.
+    fn depart(&mut self, id: &str) {
+        let Some(endpoint) = self.endpoints.remove(id) else {
+            return;
+        };
+        if endpoint
+            .membership
+            .as_ref()
+            .is_some_and(Membership::is_head)
+        {
+            self.departed.insert(endpoint.id.clone(), endpoint);
+        }
+    }
+
+    /// Returns the heads whose records were removed and that are not known to have
+    /// left their groups.
+    pub fn departed(&self) -> impl Iterator<Item = &Endpoint> {
+        self.departed.values()
+    }
+
+    /// Takes notice that a departed head has left its group or is gone.
+    pub fn forget_departed(&mut self, id: &str) {
+        self.departed.remove(id);
+    }
+
     /// Takes a complete list of the endpoints' names: the others were removed.
     pub fn retain(&mut self, now: Time, listed: &BTreeSet<Name>) -> Vec<Name> {
         let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
@@ -88,9 +116,10 @@
         self.store_lost = true;
     }
 
-    /// Takes notice that the store answers again.
+    /// Takes notice that the store answers. The first answer counts as a return:
+    /// a process that has just started doesn't know what went before.
     pub fn on_store_back(&mut self, now: Time) {
-        if self.store_lost {
+        if self.store_lost || self.store_back.is_none() {
             self.store_lost = false;
             self.store_back = Some(now);
         }
@@ -103,12 +132,14 @@
         }
         let gone: Vec<Name> = self.removals.drain().map(|(id, _)| id).collect();
         for id in &gone {
-            self.endpoints.remove(id);
+            self.depart(id);
         }
         gone
     }
 
-    fn is_unsettled(&self, now: Time) -> bool {
+    /// Returns whether records may be missing that will be back.
+    #[must_use]
+    pub fn is_unsettled(&self, now: Time) -> bool {
         self.store_lost
             || self
                 .store_back
