--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -111,6 +111,7 @@
             Ok((StatusCode::PRECONDITION_FAILED, _)) => OrderAnswer::Outdated,
             Ok((StatusCode::MISDIRECTED_REQUEST, _)) => OrderAnswer::Misdirected,
             Ok(_) => OrderAnswer::Refused,
+            Err(error) if error.is_refused() => OrderAnswer::NotListening,
             Err(_) => OrderAnswer::Unknown,
         };
         let cause = match &given {
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -10,8 +10,8 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Catalog, Endpoint, GroupSettings, LoadLimits, Name, Order, OrderAnswer, Plan, Planner, Step,
-    Vitality, VmView,
+    Catalog, Endpoint, GroupPlan, GroupSettings, LoadLimits, Name, Order, OrderAnswer, Plan,
+    Planner, Step, Vitality, VmView,
 };
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
@@ -45,6 +45,13 @@
 /// Unanswered orders after which a departed head is taken for gone.
 const DEPARTED_TRIES: u32 = 2;
 
+/// Time after the removal of its record in which an endpoint that refuses
+/// connections and runs nothing of ours may still be finishing.
+const DEPARTED_LINGER: Duration = Duration::from_secs(3);
+/// Time after which a departed head is taken for gone even if it seems to run
+/// something: a leaving member stays for 10 s at most.
+const DEPARTED_MOST: Duration = Duration::from_secs(12);
+
 /// The plan as it was last read or written.
 #[derive(Clone, Debug, Default)]
 struct Stored {
@@ -82,13 +89,16 @@
             controller.planner.borrow_mut().reset();
             stored = None;
             first_chance = None;
+            node.state.borrow_mut().planning = false;
             node.state.borrow_mut().store_heard = None;
             continue;
         }
-        if !peers::may_plan(&node) || !node.state.borrow().has_roster {
-            if stored.take().is_some() {
+        if !peers::may_plan(&node) {
+            let planned = std::mem::take(&mut node.state.borrow_mut().planning);
+            if planned {
                 info!(node.log, "stopped planning");
                 controller.planner.borrow_mut().reset();
+                stored = None;
             }
             first_chance = None;
             continue;
@@ -97,6 +107,7 @@
         if now.since(since) < TAKEOVER_DELAY {
             continue;
         }
+        node.state.borrow_mut().planning = true;
         let current = match stored.take() {
             Some(current) => current,
             None => match read_plan(&node).await {
@@ -181,13 +192,17 @@
                 departed: false,
             })
             .collect();
-        let departed = state.roster.departed().filter(|e| *e.service == *service);
-        views.extend(departed.map(|endpoint| VmView {
-            endpoint,
-            vitality: Vitality::Suspect,
-            evacuated: false,
-            departed: true,
-        }));
+        let departed = state.roster.departed().map(|d| &d.endpoint);
+        views.extend(
+            departed
+                .filter(|e| *e.service == *service)
+                .map(|endpoint| VmView {
+                    endpoint,
+                    vitality: Vitality::Suspect,
+                    evacuated: false,
+                    departed: true,
+                }),
+        );
         let silent = views
             .iter()
             .filter(|v| v.vitality == Vitality::Silent)
@@ -223,6 +238,7 @@
         match written {
             Ok(object) => {
                 info!(node.log, "plan stored"; "revision" => object.revision, "epoch" => plan.epoch, "groups" => plan.groups.len(), "before" => stored.plan.groups.len());
+                self.log_difference(&stored.plan, &plan);
                 Some(Stored {
                     plan,
                     revision: Some(object.revision),
@@ -239,6 +255,18 @@
         }
     }
 
+    fn log_difference(&self, old: &Plan, new: &Plan) {
+        let log = &self.node.log;
+        for group in new.groups.iter().filter(|g| !old.groups.contains(g)) {
+            let members: Vec<&str> = group.members.iter().map(|m| m.id.as_str()).collect();
+            info!(log, "group planned"; "group" => &group.name, "model" => &group.model, "epoch" => group.epoch, "members" => members.join(","));
+        }
+        let kept = |g: &&GroupPlan| new.groups.iter().any(|n| n.name == g.name);
+        for group in old.groups.iter().filter(|g| !kept(g)) {
+            info!(log, "group given up"; "group" => &group.name, "model" => &group.model, "epoch" => group.epoch);
+        }
+    }
+
     /// Gives orders to several endpoints at once.
     async fn give(&self, plan: &Plan, orders: Vec<Order>) {
         let node = &self.node;
@@ -262,22 +290,37 @@
     fn receiver(&self, order: &Order) -> Option<Endpoint> {
         let state = self.node.state.borrow();
         let known = state.roster.get(&order.endpoint);
-        let mut departed = state.roster.departed();
+        let mut departed = state.roster.departed().map(|d| &d.endpoint);
         known
             .or_else(|| departed.find(|e| e.id == order.endpoint))
             .cloned()
     }
 
-    /// Forgets a departed head once it has left its group or can't be reached.
+    /// Forgets a departed head once it has left its group or is gone.
     fn settle_departed(&self, order: &Order, answer: OrderAnswer) {
+        let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
-        if state.roster.departed().all(|e| e.id != order.endpoint) {
+        let mut departed = state.roster.departed();
+        let Some(since) = departed
+            .find(|d| d.endpoint.id == order.endpoint)
+            .map(|d| d.since)
+        else {
             return;
-        }
+        };
+        drop(departed);
         let mut unreached = self.unreached.borrow_mut();
         let tries = unreached.entry(order.endpoint.clone()).or_default();
         *tries += 1;
-        if answer != OrderAnswer::Unknown || *tries >= DEPARTED_TRIES {
+        let settled = match answer {
+            OrderAnswer::NotListening => {
+                let busy = state.batch(now, &order.endpoint).requests > 0.0;
+                let age = now.since(since);
+                age >= DEPARTED_MOST || (!busy && age >= DEPARTED_LINGER)
+            }
+            OrderAnswer::Unknown => *tries >= DEPARTED_TRIES,
+            _ => true,
+        };
+        if settled {
             unreached.remove(&order.endpoint);
             state.roster.forget_departed(&order.endpoint);
             info!(self.node.log, "departed head settled"; "endpoint" => &*order.endpoint, "answer" => %answer);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -78,6 +78,7 @@
     pub(crate) suspicions: HashMap<Name, (u64, Time)>,
     pub(crate) store_heard: Option<Time>,
     pub(crate) in_traffic: bool,
+    pub(crate) planning: bool,
     pub(crate) next_turn: u64,
     pub(crate) rng: SmallRng,
 }
@@ -133,6 +134,7 @@
             suspicions: HashMap::new(),
             store_heard: None,
             in_traffic: false,
+            planning: false,
             next_turn: 0,
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -251,13 +253,15 @@
 }
 
 impl State {
-    /// Returns whether the store answered within this time.
+    /// Returns whether the store answered within this time and no record is
+    /// missing that may be back. At the very start there is nothing to miss.
     pub(crate) fn in_touch(&self, now: Time, within: Duration) -> bool {
-        self.store_heard.is_some_and(|t| now.since(t) < within)
+        let heard = self.store_heard.is_some_and(|t| now.since(t) < within);
+        heard && self.has_roster && (!self.roster.is_unsettled(now) || !self.in_traffic)
     }
 
     /// Returns what all entries have in flight at an endpoint.
-    fn batch(&self, now: Time, id: &Name) -> Batch {
+    pub(crate) fn batch(&self, now: Time, id: &Name) -> Batch {
         let own = self.loads.get(id).copied().unwrap_or_default();
         let (requests, unread) = self.peers.load(now, load_key(id));
         Batch {
@@ -306,7 +310,11 @@
                 id: head.id.clone(),
                 batch: self.batch(now, &head.id),
                 near: &*head.data_centre == data_centre,
-                slowness: 1.0,
+                slowness: if self.roster.is_far(head) {
+                    engine.far_factor
+                } else {
+                    1.0
+                },
                 spent: !self.has_cold_room(now, &head.id, known.cold_per_s),
             };
             match self.vitality(now, head) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,7 +20,7 @@
 /// Additional time for each peer, which bounds the messages per second.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
 /// Age of the store's last answer up to which an entry may plan.
-const STORE_TOUCH: Duration = Duration::from_secs(7);
+const STORE_TOUCH: Duration = Duration::from_millis(2_500);
 /// Bytes of a datagram at most.
 const DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Strikes that one message carries at most.
@@ -72,6 +72,8 @@
     suspects: Vec<SuspicionMessage>,
     #[prost(message, repeated, tag = "9")]
     strikes: Vec<StrikeMessage>,
+    #[prost(bool, tag = "10")]
+    planning: bool,
 }
 
 impl NewsMessage {
@@ -83,6 +85,7 @@
             front: self.front.parse().ok()?,
             ready: self.ready,
             in_touch: self.in_touch,
+            planning: self.planning,
             loads: self.loads.into_iter().map(HeadLoad::from).collect(),
             suspects: self.suspects.into_iter().map(Suspicion::from).collect(),
             strikes: self
@@ -178,6 +181,7 @@
         front: node.settings.listen.front.to_string(),
         ready,
         in_touch: state.in_touch(now, STORE_TOUCH),
+        planning: state.planning,
         loads: loads
             .map(|l| LoadMessage {
                 key: l.key,
@@ -201,7 +205,10 @@
     let state = node.state.borrow();
     let serving = state.phase == Phase::Serving;
     let in_touch = state.in_touch(now, STORE_TOUCH);
-    serving && state.peers.may_plan(now, &node.settings.node, in_touch)
+    serving
+        && state
+            .peers
+            .may_plan(now, &node.settings.node, in_touch, state.planning)
 }
 
 /// Sends this entry's news regularly.
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -131,6 +131,8 @@
     pub loads_at_once: usize,
     /// Staged models that a host keeps.
     pub keeps: usize,
+    /// Factor on all times of a group whose members are in several domains.
+    pub far_factor: f64,
     /// Time that a head takes from an order to open until it serves.
     pub form: Duration,
     /// The models.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,7 +33,7 @@
 pub use plan::{GroupPlan, MemberPlan, Plan};
 pub use planner::{GroupSettings, LoadLimits, Planner, Step, VmView};
 pub use pool::{PlainChoice, PlainLoad, choose_plain};
-pub use roster::{Roster, RosterChange};
+pub use roster::{Departed, Roster, RosterChange};
 pub use waiting::{Turn, WaitingLine, WaitingSettings};
 
 /// A name that is shared by many records.
--- a/crates/fleet/src/orders.rs
+++ b/crates/fleet/src/orders.rs
@@ -72,6 +72,9 @@
     Misdirected,
     /// The endpoint refused it otherwise.
     Refused,
+    /// The endpoint refuses connections; nothing was sent. It has ended, or it is
+    /// leaving and only finishes what it has.
+    NotListening,
     /// No answer came: it may still be carried out.
     Unknown,
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -63,8 +63,10 @@
     pub front: SocketAddr,
     /// Whether it takes callers.
     pub ready: bool,
-    /// Whether it has had an answer from the store a moment ago.
+    /// Whether what it knows of the store is complete and new.
     pub in_touch: bool,
+    /// Whether it plans groups.
+    pub planning: bool,
     /// What it has in flight.
     pub loads: Vec<HeadLoad>,
     /// Endpoints that failed or stalled a moment ago.
@@ -134,12 +136,18 @@
         here.fold((0, 0), |sum, l| (sum.0 + l.requests, sum.1 + l.unread))
     }
 
-    /// Returns whether this entry should plan groups: of the live entries that
-    /// are in touch with the store, it has the lowest name.
+    /// Returns whether this entry should plan groups. Of the live entries that
+    /// are in touch with the store, the one that plans already goes on; of several,
+    /// the one with the lowest name.
     #[must_use]
-    pub fn may_plan(&self, now: Time, own: &str, in_touch: bool) -> bool {
+    pub fn may_plan(&self, now: Time, own: &str, in_touch: bool, planning: bool) -> bool {
         let mut rivals = self.live(now).filter(|p| p.news.in_touch && p.news.ready);
-        in_touch && !rivals.any(|p| &*p.news.node < own)
+        let goes_first = |p: &Peer| match (p.news.planning, planning) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => &*p.news.node < own,
+        };
+        in_touch && !rivals.any(goes_first)
     }
 
     /// Forgets peers that have been silent for long. Returns their names.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -78,6 +78,10 @@
         self.departed || matches!(self.vitality, Vitality::Dead | Vitality::Silent)
     }
 
+    fn is_leaving_unheard(&self) -> bool {
+        self.vitality == Vitality::Dead && self.endpoint.phase == EndpointPhase::Draining
+    }
+
     fn is_usable(&self) -> bool {
         !self.is_lost() && !self.evacuated && self.endpoint.phase == EndpointPhase::Ready
     }
@@ -137,6 +141,8 @@
     closing: HashMap<Name, Time>,
     loads: Vec<Time>,
     loading: HashMap<Name, Loading>,
+    /// The number of VMs, and since when it is that.
+    seen: Option<(usize, Time)>,
 }
 
 /// A load from the shared store that an order began.
@@ -147,9 +153,8 @@
     limit: Duration,
 }
 
-/// Loads at once before callers come, as a multiple of those that don't slow each
-/// other: loads that begin before then are short.
-const EARLY_LOADS: usize = 3;
+/// Time without a new VM after which the first groups are planned.
+const ROSTER_STILL: Duration = Duration::from_millis(500);
 
 /// Part of the names of standby groups, by which every planner knows that no head
 /// of them was ever told to open.
@@ -165,6 +170,7 @@
             closing: HashMap::new(),
             loads: Vec::new(),
             loading: HashMap::new(),
+            seen: None,
         }
     }
 
@@ -188,6 +194,10 @@
         };
         let own = views.iter().filter(|v| v.endpoint.service == service.name);
         let vms: Vms<'_> = own.map(|v| (&*v.endpoint.id, *v)).collect();
+        let growing = self.is_growing(now, vms.len());
+        if growing && plan.groups.is_empty() && !limits.in_traffic {
+            return Step::Orders(Vec::new());
+        }
         let better = forming::revise(self.settings, engine, &service.name, plan, &vms);
         if let Some(plan) = better {
             return Step::Store(plan);
@@ -195,6 +205,18 @@
         Step::Orders(self.orders(now, service, engine, plan, &vms, limits))
     }
 
+    /// Returns whether VMs still come in: groups that are planned from half of them
+    /// crowd together in few domains.
+    fn is_growing(&mut self, now: Time, count: usize) -> bool {
+        match self.seen {
+            Some((known, since)) if known == count => now.since(since) < ROSTER_STILL,
+            _ => {
+                self.seen = Some((count, now));
+                true
+            }
+        }
+    }
+
     /// Takes the answer to an order.
     pub fn on_answer(&mut self, order: &Order, answer: OrderAnswer) {
         if let Some(sent) = self.sent.get_mut(&order.endpoint)
@@ -341,11 +363,10 @@
         if vm.has_staged(&model.name) || self.loading.contains_key(&vm.endpoint.id) {
             return true;
         }
-        let at_once = match limits.in_traffic {
-            true => engine.loads_at_once,
-            false => engine.loads_at_once * EARLY_LOADS,
-        };
-        if self.loading.len() >= at_once.max(1) {
+        if !limits.in_traffic {
+            return true;
+        }
+        if self.loading.len() >= engine.loads_at_once.max(1) {
             return false;
         }
         let second = Duration::from_secs(1);
@@ -355,7 +376,7 @@
             .filter(|t| now.since(**t) < second)
             .count();
         let rate = (engine.loads_per_s * limits.rate_part).max(1.0);
-        !limits.in_traffic || ((recent + 1) as f64) <= rate
+        ((recent + 1) as f64) <= rate
     }
 
     fn on_load(&mut self, now: Time, model: &Model, vm: &VmView<'_>) {
@@ -451,7 +472,7 @@
         return false;
     };
     let silent_head = |v: &VmView<'_>| {
-        (v.departed || v.vitality == Vitality::Silent)
+        (v.departed || v.vitality == Vitality::Silent || v.is_leaving_unheard())
             && v.membership()
                 .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
     };
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -97,8 +97,7 @@
         };
     };
     let domain = &vms[anchor.id.as_str()].endpoint.domain;
-    let mut spares = free_in(vms, plan, domain);
-    spares.sort_by_key(|v| (v.distance_to(&group.model), !v.endpoint.cold.is_zero()));
+    let spares = spares_for(vms, plan, domain, &group.model);
     if spares.len() < missing {
         let head_leaves = group.members[0].id != anchor.id;
         let goes_on = lost == 0 && !head_leaves;
@@ -113,6 +112,32 @@
     Mended::Replaced(members)
 }
 
+/// Returns the VMs that can take a lost member's place, the best first: those of
+/// the domain that have the weights, then such of other domains, then the rest of
+/// the domain. A group over several domains is slower, but a load takes longer
+/// than most gaps may last.
+fn spares_for<'a, 'v>(
+    vms: &'a Vms<'v>,
+    plan: &Plan,
+    domain: &str,
+    model: &str,
+) -> Vec<&'a VmView<'v>> {
+    let rank = |v: &&VmView<'_>| {
+        let far = *v.endpoint.domain != *domain;
+        let unstaged = !v.has_staged(model);
+        (
+            unstaged,
+            far,
+            v.distance_to(model),
+            !v.endpoint.cold.is_zero(),
+        )
+    };
+    let fits = |v: &&VmView<'_>| v.has_staged(model) || *v.endpoint.domain == *domain;
+    let mut spares: Vec<&VmView<'_>> = free(vms, plan).into_iter().filter(fits).collect();
+    spares.sort_by_key(rank);
+    spares
+}
+
 /// Forms the groups that are wanted and missing.
 fn form(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
     loop {
@@ -125,7 +150,7 @@
         models.sort_by(|a, b| b.1.total_cmp(&a.1));
         let found = models
             .iter()
-            .find_map(|(m, _)| best_members(m, vms, plan).map(|members| (*m, members)));
+            .find_map(|(m, _)| members_for(m, vms, plan).map(|members| (*m, members)));
         let Some((model, members)) = found else {
             return;
         };
@@ -154,10 +179,50 @@
     wanted.saturating_sub(present) as f64 / wanted.max(1) as f64
 }
 
-/// Returns members of one domain for a new group: in the data centre with the
-/// fewest groups of the model, where most hosts have the weights.
+/// Returns members for a new group: of one domain if they have the weights, else of
+/// several if these have, else of one domain whose VMs must load them.
+fn members_for(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
+    let near = best_members(model, vms, plan);
+    let has_weights = |m: &MemberPlan| vms[m.id.as_str()].has_staged(&model.name);
+    if near
+        .as_ref()
+        .is_some_and(|members| members.iter().all(has_weights))
+    {
+        return near;
+    }
+    scattered_members(model, vms, plan).or(near)
+}
+
+/// Returns members with the weights from as few domains as possible.
+fn scattered_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
+    let staged = free(vms, plan)
+        .into_iter()
+        .filter(|v| v.has_staged(&model.name));
+    let mut staged: Vec<&VmView<'_>> = staged.collect();
+    if staged.len() < model.size {
+        return None;
+    }
+    let mut per_domain: BTreeMap<&str, usize> = BTreeMap::new();
+    for vm in &staged {
+        *per_domain.entry(&vm.endpoint.domain).or_default() += 1;
+    }
+    staged.sort_by_key(|v| {
+        let domain = &*v.endpoint.domain;
+        (
+            usize::MAX - per_domain[domain],
+            domain.to_owned(),
+            v.distance_to(&model.name),
+        )
+    });
+    Some(staged.iter().take(model.size).map(member).collect())
+}
+
+/// Returns members of one domain for a new group: where no host has to load the
+/// weights if there is such a domain, then in the domain and data centre with the
+/// fewest groups of the model, so that a dark domain takes few of them along.
 fn best_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
     let mut per_centre: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut per_domain: BTreeMap<&str, usize> = BTreeMap::new();
     for group in plan
         .groups
         .iter()
@@ -165,6 +230,7 @@
     {
         if let Some(head) = vms.get(group.members[0].id.as_str()) {
             *per_centre.entry(&head.endpoint.data_centre).or_default() += 1;
+            *per_domain.entry(&head.endpoint.domain).or_default() += 1;
         }
     }
     let mut domains: Vec<&str> = vms.values().map(|v| &*v.endpoint.domain).collect();
@@ -177,19 +243,18 @@
             continue;
         }
         free.sort_by_key(|v| (v.distance_to(&model.name), v.endpoint.id.clone()));
-        let unstaged = free
-            .iter()
-            .take(model.size)
-            .filter(|v| !v.has_staged(&model.name));
-        let unstaged = unstaged.count();
-        let here = per_centre
-            .get(&*free[0].endpoint.data_centre)
-            .copied()
-            .unwrap_or(0);
-        let rank = (unstaged > 0, here, unstaged, usize::MAX - free.len());
+        let chosen = &free[..model.size];
+        let unstaged = chosen.iter().filter(|v| !v.has_staged(&model.name)).count();
+        let centre = &*free[0].endpoint.data_centre;
+        let rank = (
+            unstaged > 0,
+            per_domain.get(domain).copied().unwrap_or(0),
+            per_centre.get(centre).copied().unwrap_or(0),
+            unstaged,
+            usize::MAX - free.len(),
+        );
         if best.as_ref().is_none_or(|(old, _)| rank < *old) {
-            let members = free.iter().take(model.size).map(member).collect();
-            best = Some((rank, members));
+            best = Some((rank, chosen.iter().map(member).collect()));
         }
     }
     best.map(|(_, members)| members)
@@ -204,11 +269,14 @@
 
 /// Returns the VMs of a domain that no group has and that can be used.
 fn free_in<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan, domain: &str) -> Vec<&'a VmView<'v>> {
+    let all = free(vms, plan).into_iter();
+    all.filter(|v| *v.endpoint.domain == *domain).collect()
+}
+
+/// Returns the VMs that no group has and that can be used.
+fn free<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan) -> Vec<&'a VmView<'v>> {
     let free = |v: &&VmView<'_>| {
-        *v.endpoint.domain == *domain
-            && v.is_usable()
-            && plan.group_of(&v.endpoint.id).is_none()
-            && !is_held(v, vms)
+        v.is_usable() && plan.group_of(&v.endpoint.id).is_none() && !is_held(v, vms)
     };
     vms.values().filter(free).collect()
 }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -29,13 +29,23 @@
     Same,
 }
 
+/// A head whose record was removed.
+#[derive(Clone, Debug)]
+pub struct Departed {
+    /// Its last record.
+    pub endpoint: Endpoint,
+    /// When the record was removed.
+    pub since: Time,
+}
+
 /// What is known of every endpoint.
 #[derive(Debug, Default)]
 pub struct Roster {
     endpoints: HashMap<Name, Endpoint>,
     removals: HashMap<Name, Time>,
-    departed: HashMap<Name, Endpoint>,
+    departed: HashMap<Name, Departed>,
     evacuated: BTreeSet<Name>,
+    far: BTreeSet<(Name, u64)>,
     store_lost: bool,
     store_back: Option<Time>,
 }
@@ -46,6 +56,14 @@
         self.removals.remove(&endpoint.id);
         self.departed.remove(&endpoint.id);
         let id = endpoint.id.clone();
+        let change = self.replace(id, endpoint);
+        if change != RosterChange::Same {
+            self.find_far_groups();
+        }
+        change
+    }
+
+    fn replace(&mut self, id: Name, endpoint: Endpoint) -> RosterChange {
         match self.endpoints.insert(id, endpoint) {
             None => RosterChange::Added,
             Some(old) => {
@@ -61,6 +79,30 @@
         }
     }
 
+    /// Finds the groups whose members are in several domains.
+    fn find_far_groups(&mut self) {
+        let mut domains: HashMap<(&Name, u64), &Name> = HashMap::new();
+        let mut far = BTreeSet::new();
+        for endpoint in self.endpoints.values() {
+            let Some(membership) = &endpoint.membership else {
+                continue;
+            };
+            let group = (&membership.group, membership.epoch);
+            let first = *domains.entry(group).or_insert(&endpoint.domain);
+            if *first != endpoint.domain {
+                far.insert((membership.group.clone(), membership.epoch));
+            }
+        }
+        self.far = far;
+    }
+
+    /// Returns whether a head's group has members in several domains.
+    #[must_use]
+    pub fn is_far(&self, head: &Endpoint) -> bool {
+        let group = head.membership.as_ref().map(|m| (m.group.clone(), m.epoch));
+        group.is_some_and(|g| self.far.contains(&g))
+    }
+
     /// Takes notice that the store holds no record of this endpoint any more.
     /// Returns whether it was dropped at once.
     pub fn remove(&mut self, now: Time, id: &str) -> bool {
@@ -71,13 +113,13 @@
             self.removals.entry(name.clone()).or_insert(now);
             return false;
         }
-        self.depart(id);
+        self.depart(now, id);
         true
     }
 
     /// Drops a record. A head is remembered: it may be cut off from the store only
     /// and still serve, and its members must not join another group until then.
-    fn depart(&mut self, id: &str) {
+    fn depart(&mut self, now: Time, id: &str) {
         let Some(endpoint) = self.endpoints.remove(id) else {
             return;
         };
@@ -86,13 +128,18 @@
             .as_ref()
             .is_some_and(Membership::is_head)
         {
-            self.departed.insert(endpoint.id.clone(), endpoint);
+            let id = endpoint.id.clone();
+            let departed = Departed {
+                endpoint,
+                since: now,
+            };
+            self.departed.insert(id, departed);
         }
     }
 
     /// Returns the heads whose records were removed and that are not known to have
     /// left their groups.
-    pub fn departed(&self) -> impl Iterator<Item = &Endpoint> {
+    pub fn departed(&self) -> impl Iterator<Item = &Departed> {
         self.departed.values()
     }
 
@@ -132,7 +179,7 @@
         }
         let gone: Vec<Name> = self.removals.drain().map(|(id, _)| id).collect();
         for id in &gone {
-            self.depart(id);
+            self.depart(now, id);
         }
         gone
     }
