--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -13,9 +13,8 @@
     Catalog, Endpoint, GroupPlan, GroupSettings, LoadLimits, Name, Order, OrderAnswer, Plan,
     Planner, Step, Vitality, VmView,
 };
-use futures_util::StreamExt as _;
-use futures_util::stream::FuturesUnordered;
 use slog::{info, warn};
+use tokio::task::spawn_local;
 
 use crate::control::ControlLinks;
 use crate::dialect::ObjectKind;
@@ -71,13 +70,13 @@
 
 /// Plans for ever.
 pub(crate) async fn plan_groups(node: Rc<Node>) {
-    let controller = Controller {
+    let controller = Rc::new(Controller {
         node: node.clone(),
         links: ControlLinks::default(),
         planner: RefCell::new(Planner::new(GroupSettings::default())),
         probed: RefCell::default(),
         unreached: RefCell::default(),
-    };
+    });
     let mut stored: Option<Stored> = None;
     let mut first_chance: Option<Time> = None;
     loop {
@@ -152,7 +151,7 @@
 impl Controller {
     /// Takes one step with every service that has engines. Returns what is stored,
     /// or `None` if it must be read again.
-    async fn advance(&self, mut stored: Stored) -> Option<Stored> {
+    async fn advance(self: &Rc<Self>, mut stored: Stored) -> Option<Stored> {
         let unsettled = self
             .node
             .state
@@ -164,13 +163,13 @@
             return Some(stored);
         }
         let catalog = self.node.state.borrow().catalog.clone();
-        self.probe(&stored.plan).await;
+        self.probe(&stored.plan);
         for service in catalog.services().filter(|s| s.engine.is_some()) {
             loop {
                 match self.step(&catalog, &service.name, &stored.plan) {
                     Step::Store(plan) => stored = self.store(stored, plan).await?,
                     Step::Orders(orders) => {
-                        self.give(&stored.plan, orders).await;
+                        self.give(&stored.plan, orders);
                         break;
                     }
                 }
@@ -267,24 +266,22 @@
         }
     }
 
-    /// Gives orders to several endpoints at once.
-    async fn give(&self, plan: &Plan, orders: Vec<Order>) {
-        let node = &self.node;
-        let fence = node.settings.bounds.fencing.then_some(plan.epoch);
-        let mut given = FuturesUnordered::new();
+    /// Gives orders. One that isn't answered holds up none of the others.
+    fn give(self: &Rc<Self>, plan: &Plan, orders: Vec<Order>) {
+        let fence = self.node.settings.bounds.fencing.then_some(plan.epoch);
         for order in orders {
             let Some(endpoint) = self.receiver(&order) else {
                 continue;
             };
-            given.push(async move {
-                let answer = self.links.give(node, &endpoint, &order, fence).await;
-                (order, answer)
+            let controller = self.clone();
+            spawn_local(async move {
+                let node = &controller.node;
+                let answer = controller.links.give(node, &endpoint, &order, fence).await;
+                controller.planner.borrow_mut().on_answer(&order, answer);
+                controller.settle_departed(&order, answer);
+                node.planner_wake.notify_one();
             });
         }
-        while let Some((order, answer)) = given.next().await {
-            self.planner.borrow_mut().on_answer(&order, answer);
-            self.settle_departed(&order, answer);
-        }
     }
 
     fn receiver(&self, order: &Order) -> Option<Endpoint> {
@@ -328,13 +325,16 @@
     }
 
     /// Probes the VMs whose turn it is.
-    async fn probe(&self, plan: &Plan) {
-        let due = self.due(plan);
-        let mut probes = FuturesUnordered::new();
-        for endpoint in &due {
-            probes.push(self.links.probe(&self.node, endpoint));
+    fn probe(self: &Rc<Self>, plan: &Plan) {
+        for endpoint in self.due(plan) {
+            let controller = self.clone();
+            spawn_local(async move {
+                let node = &controller.node;
+                if controller.links.probe(node, &endpoint).await.is_none() {
+                    node.planner_wake.notify_one();
+                }
+            });
         }
-        while probes.next().await.is_some() {}
     }
 
     fn due(&self, plan: &Plan) -> Vec<Endpoint> {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,9 +10,10 @@
 
 use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, Time, stable_hash};
 use bulrushhoist_fleet::{
-    Batch, Candidate, Catalog, ColdAllowance, Endpoint, HeadLoad, Monitor, MonitorSettings, Name,
-    PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice, PlainLoad, Roster, SharedBudget,
-    Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head, choose_plain,
+    Batch, Candidate, Catalog, ColdAllowance, Endpoint, Engine, HeadLoad, Monitor, MonitorSettings,
+    Name, PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice, PlainLoad, Roster,
+    SharedBudget, Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head,
+    choose_plain, longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -27,9 +28,11 @@
 use crate::settings::Settings;
 use crate::store::StoreClient;
 
-/// Silence of all streams at a head after which it counts as stalled. A pass of
-/// a full batch that also reads a piece of a prompt at each step takes about 300 ms.
-pub(crate) const STALL_SILENCE: Duration = Duration::from_millis(450);
+/// Least silence of all streams at a head after which it counts as stalled: a lost
+/// packet is sent again within half of it.
+const STALL_LEAST: Duration = Duration::from_millis(450);
+/// Longest passes of a sound head that a silence must exceed.
+const STALL_PASSES: f64 = 2.5;
 /// Time for which a suspicion is told to the other entries.
 const SUSPICION_NEWS: Duration = Duration::from_millis(1_500);
 
@@ -188,7 +191,7 @@
         let now = self.now();
         let state = self.state.borrow();
         let load = state.loads.get(endpoint);
-        load.is_some_and(|l| l.requests > 0 && now.since(l.active) >= STALL_SILENCE)
+        load.is_some_and(|l| l.requests > 0 && now.since(l.active) >= state.stall_limit(endpoint))
     }
 
     /// Wakes requests that can start now, and turns away those that waited too long.
@@ -253,6 +256,33 @@
 }
 
 impl State {
+    /// Returns the silence after which a head counts as stalled.
+    fn stall_limit(&self, id: &str) -> Duration {
+        let Some(head) = self.roster.get(id) else {
+            return STALL_LEAST;
+        };
+        let service = self.catalog.service(&head.service);
+        let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
+            return STALL_LEAST;
+        };
+        let model = engine
+            .models
+            .iter()
+            .find(|m| Some(&m.name) == head.model.as_ref());
+        let pace = model.map_or(1.0, |m| m.pace) * self.slowness(engine, head);
+        longest_pass(engine, pace)
+            .mul_f64(STALL_PASSES)
+            .max(STALL_LEAST)
+    }
+
+    fn slowness(&self, engine: &Engine, head: &Endpoint) -> f64 {
+        if self.roster.is_far(head) {
+            engine.far_factor
+        } else {
+            1.0
+        }
+    }
+
     /// Returns whether the store answered within this time and no record is
     /// missing that may be back. At the very start there is nothing to miss.
     pub(crate) fn in_touch(&self, now: Time, within: Duration) -> bool {
@@ -310,11 +340,7 @@
                 id: head.id.clone(),
                 batch: self.batch(now, &head.id),
                 near: &*head.data_centre == data_centre,
-                slowness: if self.roster.is_far(head) {
-                    engine.far_factor
-                } else {
-                    1.0
-                },
+                slowness: self.slowness(engine, head),
                 spent: !self.has_cold_room(now, &head.id, known.cold_per_s),
             };
             match self.vitality(now, head) {
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -119,6 +119,8 @@
     pub per_seq_ms: f64,
     /// Prompt tokens that are read per second.
     pub read_per_s: f64,
+    /// Prompt tokens that one step reads at most.
+    pub chunk: u32,
     /// Milliseconds per million pairs of a prompt token and an earlier one.
     pub pairs_per_m: f64,
     /// Tokens of a usual prompt.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,7 +27,7 @@
 pub use endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
 pub use monitor::{Monitor, MonitorSettings, Vitality};
 pub use orders::{Order, OrderAnswer, OrderKind};
-pub use pace::{Batch, Work, first_token, step_time};
+pub use pace::{Batch, Work, first_token, longest_pass, step_time};
 pub use peers::{HeadLoad, Peer, PeerBook, PeerNews, PeerSettings, Suspicion};
 pub use place::{Candidate, ColdAllowance, PlaceSettings, Placement, choose_head};
 pub use plan::{GroupPlan, MemberPlan, Plan};
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -43,3 +43,12 @@
     let pass = step_time(engine, pace, writers) * engine.stride.max(1);
     reading + pass
 }
+
+/// Returns the longest pass that a sound head makes: every step of it writes with a
+/// full batch and reads a whole piece of a prompt.
+#[must_use]
+pub fn longest_pass(engine: &Engine, pace: f64) -> Duration {
+    let step = step_time(engine, pace, f64::from(engine.slots));
+    let piece_s = f64::from(engine.chunk) / engine.read_per_s.max(1.0) * pace;
+    (step + Duration::from_secs_f64(piece_s)) * engine.stride.max(1)
+}
