--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -39,7 +39,7 @@
 const SUSPENDED: Duration = Duration::from_millis(400);
 /// Time for which this entry must be the one to plan before it takes over, so that
 /// a peer that has just started can be heard.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
+const TAKEOVER_DELAY: Duration = Duration::from_millis(200);
 
 /// Unanswered orders after which a departed head is taken for gone.
 const DEPARTED_TRIES: u32 = 2;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -19,6 +19,8 @@
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Additional time for each peer, which bounds the messages per second.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
+/// Messages in a row that must be missing before a peer counts as silent.
+const SILENT_INTERVALS: u32 = 4;
 /// Age of the store's last answer up to which an entry may plan.
 const STORE_TOUCH: Duration = Duration::from_millis(2_500);
 /// Bytes of a datagram at most.
@@ -219,8 +221,10 @@
         for peer in lost {
             info!(node.log, "peer forgotten"; "peer" => &*peer);
         }
-        let more = INTERVAL_PER_PEER * socket.peer_count();
-        tokio::time::sleep(INTERVAL.max(more)).await;
+        let interval = INTERVAL.max(INTERVAL_PER_PEER * socket.peer_count());
+        let silence = interval * SILENT_INTERVALS;
+        node.state.borrow_mut().peers.set_silence(silence);
+        tokio::time::sleep(interval).await;
     }
 }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Sets the silence after which a peer isn't named to callers any more.
+    pub fn set_silence(&mut self, silence: Duration) {
+        self.settings.silence = silence;
+    }
+
     /// Takes a message. Returns whether it is newer than the last one.
     pub fn hear(&mut self, now: Time, news: PeerNews) -> bool {
         if let Some(known) = self.peers.get(&news.node) {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -60,6 +60,16 @@
     pub rate_part: f64,
 }
 
+/// Which VMs may become members of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Weights {
+    /// Those that have the weights: the others load them on standby, so that no
+    /// member waits for another one's load.
+    Loaded,
+    /// All: before callers come, loads are short.
+    Any,
+}
+
 /// A VM as the planner sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct VmView<'a> {
@@ -198,7 +208,12 @@
         if growing && plan.groups.is_empty() && !limits.in_traffic {
             return Step::Orders(Vec::new());
         }
-        let better = forming::revise(self.settings, engine, &service.name, plan, &vms);
+        let weights = if limits.in_traffic {
+            Weights::Loaded
+        } else {
+            Weights::Any
+        };
+        let better = forming::revise(self.settings, engine, &service.name, plan, &vms, weights);
         if let Some(plan) = better {
             return Step::Store(plan);
         }
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{GroupSettings, STANDBY_MARK, VmView, Vms, is_held};
+use super::{GroupSettings, STANDBY_MARK, VmView, Vms, Weights, is_held};
 use crate::catalog::{Engine, Model};
 use crate::endpoint::EndpointPhase;
 use crate::plan::{GroupPlan, MemberPlan, Plan};
@@ -14,11 +14,12 @@
     service: &str,
     plan: &Plan,
     vms: &Vms<'_>,
+    weights: Weights,
 ) -> Option<Plan> {
     let mut next = plan.clone();
     set_wanted(settings, engine, vms, &mut next);
-    repair(engine, service, vms, &mut next);
-    form(engine, service, vms, &mut next);
+    repair(engine, service, vms, &mut next, weights);
+    form(engine, service, vms, &mut next, weights);
     stand_by(engine, service, vms, &mut next);
     (next != *plan).then_some(next)
 }
@@ -38,14 +39,14 @@
 }
 
 /// Replaces lost and leaving members, or gives up groups that can't be mended.
-fn repair(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+fn repair(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan, weights: Weights) {
     let mut index = 0;
     while index < plan.groups.len() {
         if plan.groups[index].service != service || plan.groups[index].standby {
             index += 1;
             continue;
         }
-        match mend(engine, vms, plan, index) {
+        match mend(engine, vms, plan, index, weights) {
             Mended::Kept => index += 1,
             Mended::Replaced(members) => {
                 let epoch = plan.draw_epoch();
@@ -68,7 +69,7 @@
     Hopeless,
 }
 
-fn mend(engine: &Engine, vms: &Vms<'_>, plan: &Plan, index: usize) -> Mended {
+fn mend(engine: &Engine, vms: &Vms<'_>, plan: &Plan, index: usize, weights: Weights) -> Mended {
     let group = &plan.groups[index];
     if !engine.models.iter().any(|m| *m.name == *group.model) {
         return Mended::Hopeless;
@@ -97,7 +98,7 @@
         };
     };
     let domain = &vms[anchor.id.as_str()].endpoint.domain;
-    let spares = spares_for(vms, plan, domain, &group.model);
+    let spares = spares_for(vms, plan, domain, &group.model, weights);
     if spares.len() < missing {
         let head_leaves = group.members[0].id != anchor.id;
         let goes_on = lost == 0 && !head_leaves;
@@ -121,6 +122,7 @@
     plan: &Plan,
     domain: &str,
     model: &str,
+    weights: Weights,
 ) -> Vec<&'a VmView<'v>> {
     let rank = |v: &&VmView<'_>| {
         let far = *v.endpoint.domain != *domain;
@@ -132,14 +134,15 @@
             !v.endpoint.cold.is_zero(),
         )
     };
-    let fits = |v: &&VmView<'_>| v.has_staged(model) || *v.endpoint.domain == *domain;
+    let may_load = |v: &VmView<'_>| weights == Weights::Any && *v.endpoint.domain == *domain;
+    let fits = |v: &&VmView<'_>| v.has_staged(model) || may_load(v);
     let mut spares: Vec<&VmView<'_>> = free(vms, plan).into_iter().filter(fits).collect();
     spares.sort_by_key(rank);
     spares
 }
 
 /// Forms the groups that are wanted and missing.
-fn form(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+fn form(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan, weights: Weights) {
     loop {
         let mut models: Vec<(&Model, f64)> = engine
             .models
@@ -150,7 +153,7 @@
         models.sort_by(|a, b| b.1.total_cmp(&a.1));
         let found = models
             .iter()
-            .find_map(|(m, _)| members_for(m, vms, plan).map(|members| (*m, members)));
+            .find_map(|(m, _)| members_for(m, vms, plan, weights).map(|members| (*m, members)));
         let Some((model, members)) = found else {
             return;
         };
@@ -170,18 +173,29 @@
 /// Returns the missing part of a model's wanted groups. Groups in data centres
 /// out of service don't count.
 fn shortage(model: &Model, vms: &Vms<'_>, plan: &Plan) -> f64 {
+    let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
+    missing_groups(model, vms, plan) as f64 / wanted.max(1) as f64
+}
+
+/// Returns how many of a model's wanted groups are missing.
+fn missing_groups(model: &Model, vms: &Vms<'_>, plan: &Plan) -> usize {
     let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
     let in_service = |g: &&GroupPlan| {
         let mut members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
         !g.standby && *g.model == *model.name && members.all(|v| !v.evacuated)
     };
     let present = plan.groups.iter().filter(in_service).count();
-    wanted.saturating_sub(present) as f64 / wanted.max(1) as f64
+    wanted.saturating_sub(present)
 }
 
 /// Returns members for a new group: of one domain if they have the weights, else of
 /// several if these have, else of one domain whose VMs must load them.
-fn members_for(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
+fn members_for(
+    model: &Model,
+    vms: &Vms<'_>,
+    plan: &Plan,
+    weights: Weights,
+) -> Option<Vec<MemberPlan>> {
     let near = best_members(model, vms, plan);
     let has_weights = |m: &MemberPlan| vms[m.id.as_str()].has_staged(&model.name);
     if near
@@ -190,6 +204,7 @@
     {
         return near;
     }
+    let near = near.filter(|_| weights == Weights::Any);
     scattered_members(model, vms, plan).or(near)
 }
 
@@ -297,8 +312,9 @@
     sorted
 }
 
-/// Lets every spare VM keep a model loaded: the one that its host has, or the one
-/// with the most members for each spare of the domain.
+/// Lets every spare VM keep a model loaded: one that is short of members, else the
+/// one that its host has, else the one with the most members for each spare of the
+/// domain.
 fn stand_by(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
     let usable = |m: &MemberPlan| {
         let vm = vms.get(m.id.as_str());
@@ -307,39 +323,24 @@
     let own = |g: &GroupPlan| g.standby && g.service == service;
     plan.groups
         .retain(|g| !own(g) || g.members.iter().all(usable));
-    let mut spares: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-    let mut members: BTreeMap<(&str, &str), usize> = BTreeMap::new();
-    for group in plan.groups.iter().filter(|g| g.service == service) {
-        let Some(model) = engine.models.iter().find(|m| *m.name == *group.model) else {
-            continue;
-        };
-        for member in &group.members {
-            if let Some(vm) = vms.get(member.id.as_str()) {
-                let counts = if group.standby {
-                    &mut spares
-                } else {
-                    &mut members
-                };
-                *counts
-                    .entry((&vm.endpoint.domain, &model.name))
-                    .or_default() += 1;
-            }
-        }
-    }
+    let mut stock = Stock::count(service, vms, plan);
     let in_none =
         |v: &&VmView<'_>| v.is_usable() && !plan.groups.iter().any(|g| g.has(&v.endpoint.id));
     let idle: Vec<&VmView<'_>> = vms.values().filter(in_none).collect();
     for vm in idle {
         let domain = &*vm.endpoint.domain;
         let need = |m: &&Model| {
-            let used = members.get(&(domain, &*m.name)).copied().unwrap_or(0);
-            let spare = spares.get(&(domain, &*m.name)).copied().unwrap_or(0);
-            (vm.has_staged(&m.name), used * 100 / (spare + 1))
+            let lacking = stock.lacking(m, vms, plan);
+            (
+                lacking,
+                vm.has_staged(&m.name),
+                stock.members_per_spare(domain, &m.name),
+            )
         };
         let Some(model) = engine.models.iter().max_by_key(need) else {
             return;
         };
-        *spares.entry((domain, &*model.name)).or_default() += 1;
+        stock.add_spare(domain, &model.name);
         let epoch = plan.draw_epoch();
         plan.groups.push(GroupPlan {
             name: format!("{service}{STANDBY_MARK}{epoch}"),
@@ -351,3 +352,55 @@
         });
     }
 }
+
+/// How many members and spares there are of each model in each domain.
+struct Stock {
+    members: BTreeMap<(String, String), usize>,
+    spares: BTreeMap<(String, String), usize>,
+}
+
+impl Stock {
+    fn count(service: &str, vms: &Vms<'_>, plan: &Plan) -> Self {
+        let mut stock = Self {
+            members: BTreeMap::new(),
+            spares: BTreeMap::new(),
+        };
+        for group in plan.groups.iter().filter(|g| g.service == service) {
+            for member in &group.members {
+                let Some(vm) = vms.get(member.id.as_str()) else {
+                    continue;
+                };
+                let counts = if group.standby {
+                    &mut stock.spares
+                } else {
+                    &mut stock.members
+                };
+                let key = (vm.endpoint.domain.to_string(), group.model.clone());
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+        stock
+    }
+
+    fn add_spare(&mut self, domain: &str, model: &str) {
+        let key = (domain.to_owned(), model.to_owned());
+        *self.spares.entry(key).or_default() += 1;
+    }
+
+    /// Returns how many VMs a model lacks for the groups that are wanted, beyond
+    /// the spares that it has.
+    fn lacking(&self, model: &Model, vms: &Vms<'_>, plan: &Plan) -> usize {
+        let spares = self.spares.iter().filter(|((_, m), _)| **m == *model.name);
+        let spares: usize = spares.map(|(_, count)| count).sum();
+        (missing_groups(model, vms, plan) * model.size).saturating_sub(spares)
+    }
+
+    /// Returns a hundred times the members for each spare of a domain, counting one
+    /// more spare.
+    fn members_per_spare(&self, domain: &str, model: &str) -> usize {
+        let key = (domain.to_owned(), model.to_owned());
+        let members = self.members.get(&key).copied().unwrap_or(0);
+        let spares = self.spares.get(&key).copied().unwrap_or(0);
+        members * 100 / (spares + 1)
+    }
+}
