--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -1,8 +1,8 @@
 //! Which head gets a request.
 //!
 //! Answers uneven batches: the candidates are compared by the expected time to
-//! the first token with all that the entries have in flight there, over a random
-//! half of the heads, so that entries with the same delayed view spread out.
+//! the first token and the next ones with all that the entries have in flight there.
+//! The comparison is blurred, so that entries with the same delayed view spread out.
 
 use std::time::Duration;
 
@@ -17,8 +17,10 @@
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSettings {
-    /// Heads that are compared at least.
-    pub least: usize,
+    /// Heads that are compared at most.
+    pub most: usize,
+    /// Part by which an expected time is varied at random, up or down.
+    pub blur: f64,
     /// Output tokens whose time counts beside the first token's.
     pub tokens: u32,
     /// Penalty for a head in another data centre.
@@ -28,7 +30,8 @@
 impl Default for PlaceSettings {
     fn default() -> Self {
         Self {
-            least: 4,
+            most: 12,
+            blur: 0.12,
             tokens: 20,
             distance: Duration::from_millis(12),
         }
@@ -76,7 +79,7 @@
     let slots = f64::from(engine.slots);
     let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
     let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
-    let looked_at = settings.least.max(open.len().div_ceil(2)).min(open.len());
+    let looked_at = settings.most.min(open.len());
     for i in 0..looked_at {
         let other = rng.random_range(i..open.len());
         open.swap(i, other);
@@ -92,7 +95,12 @@
         };
         (first, first + steps + way)
     };
-    let costs = open.iter().take(looked_at).map(|c| (cost(c), *c));
+    let mut blurred = |c: &Candidate| {
+        let (first, total) = cost(c);
+        let factor = 1.0 + rng.random_range(-settings.blur..=settings.blur);
+        (first, total.mul_f64(factor))
+    };
+    let costs = open.iter().take(looked_at).map(|c| (blurred(c), *c));
     let best = costs.min_by_key(|((_, total), _)| *total);
     match best {
         Some(((first, _), head)) => Placement::Head(head.id.clone(), first),
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -43,7 +43,7 @@
 impl Default for GroupSettings {
     fn default() -> Self {
         Self {
-            spare_part: 0.15,
+            spare_part: 0.25,
             resend: Duration::from_millis(700),
             settle: Duration::from_millis(1_500),
             closing: Duration::from_secs(7),
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -86,7 +86,10 @@
     let kept: Vec<&MemberPlan> = group.members.iter().filter(stays).collect();
     let missing = group.members.len() - kept.len();
     if missing == 0 {
-        return Mended::Kept;
+        return match gathered(vms, plan, group) {
+            Some(members) => Mended::Replaced(members),
+            None => Mended::Kept,
+        };
     }
     let evacuated = kept.iter().any(|m| vms[m.id.as_str()].evacuated);
     let held = kept.iter().any(|m| is_held(&vms[m.id.as_str()], vms));
@@ -113,6 +116,39 @@
     Mended::Replaced(members)
 }
 
+/// Returns members of one domain for a group over several, once enough VMs of the
+/// domain that most members are in have the model loaded.
+fn gathered(vms: &Vms<'_>, plan: &Plan, group: &GroupPlan) -> Option<Vec<MemberPlan>> {
+    let domain_of = |m: &MemberPlan| &*vms[m.id.as_str()].endpoint.domain;
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for member in &group.members {
+        *counts.entry(domain_of(member)).or_default() += 1;
+    }
+    if counts.len() < 2 {
+        return None;
+    }
+    let home = counts
+        .iter()
+        .max_by_key(|(_, count)| **count)
+        .map(|(domain, _)| *domain)?;
+    let mut members: Vec<MemberPlan> = Vec::new();
+    members.extend(
+        group
+            .members
+            .iter()
+            .filter(|m| domain_of(m) == home)
+            .cloned(),
+    );
+    let missing = group.members.len() - members.len();
+    let mut spares = free_in(vms, plan, home);
+    spares.retain(|v| v.distance_to(&group.model) == 0);
+    if spares.len() < missing {
+        return None;
+    }
+    members.extend(spares.iter().take(missing).map(member));
+    Some(members)
+}
+
 /// Returns the VMs that can take a lost member's place, the best first: those of
 /// the domain that have the weights, then such of other domains, then the rest of
 /// the domain. A group over several domains is slower, but a load takes longer
