Members leave their group before they join another; a stored plan always has a new epoch

Change: every VM leaves its former group before it joins another one, which needs no knowledge of the head; a planner that sees a newer epoch reads the plan again, and does so every second.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -10,10 +10,10 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Catalog, Endpoint, GroupPlan, GroupSettings, LoadLimits, Name, Order, OrderAnswer, Plan,
-    Planner, Step, Vitality, VmView,
+    Catalog, Endpoint, GroupPlan, GroupSettings, LoadLimits, Name, Order, Plan, Planner, Step,
+    Vitality, survey,
 };
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::task::spawn_local;
 
 use crate::control::ControlLinks;
@@ -30,9 +30,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time between two probes of a VM in a group under suspicion.
 const SUSPECT_INTERVAL: Duration = Duration::from_millis(200);
-/// Part of the VMs that are silent at once from which on this entry takes itself
-/// for cut off.
-const CUT_OFF_PART: f64 = 0.4;
 /// Part of the store's published rate of loads that is used.
 const LOAD_RATE_PART: f64 = 0.9;
 /// Suspension after which given orders are forgotten and the plan is read again.
@@ -41,21 +38,16 @@
 /// a peer that has just started can be heard.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(200);
 
-/// Unanswered orders after which a departed head is taken for gone.
-const DEPARTED_TRIES: u32 = 2;
-
-/// Time after the removal of its record in which an endpoint that refuses
-/// connections and runs nothing of ours may still be finishing.
-const DEPARTED_LINGER: Duration = Duration::from_secs(3);
-/// Time after which a departed head is taken for gone even if it seems to run
-/// something: a leaving member stays for 10 s at most.
-const DEPARTED_MOST: Duration = Duration::from_secs(12);
+/// Age of what is known of the plan after which it is read again: another entry may
+/// plan that this one doesn't hear.
+const REREAD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The plan as it was last read or written.
 #[derive(Clone, Debug, Default)]
 struct Stored {
     plan: Plan,
     revision: Option<u64>,
+    read: Time,
 }
 
 /// The planner's state in this process.
@@ -64,8 +56,6 @@
     links: ControlLinks,
     planner: RefCell<Planner>,
     probed: RefCell<BTreeMap<Name, Time>>,
-    /// Unanswered orders to heads whose records were removed.
-    unreached: RefCell<BTreeMap<Name, u32>>,
 }
 
 /// Plans for ever.
@@ -75,7 +65,6 @@
         links: ControlLinks::default(),
         planner: RefCell::new(Planner::new(GroupSettings::default())),
         probed: RefCell::default(),
-        unreached: RefCell::default(),
     });
     let mut stored: Option<Stored> = None;
     let mut first_chance: Option<Time> = None;
@@ -106,12 +95,20 @@
         if now.since(since) < TAKEOVER_DELAY {
             continue;
         }
-        node.state.borrow_mut().planning = true;
+        if !std::mem::replace(&mut node.state.borrow_mut().planning, true) {
+            info!(node.log, "planning");
+        }
+        if stored
+            .as_ref()
+            .is_some_and(|s| now.since(s.read) >= REREAD_INTERVAL)
+        {
+            stored = None;
+        }
         let current = match stored.take() {
             Some(current) => current,
             None => match read_plan(&node).await {
                 Ok(read) => {
-                    info!(node.log, "planning"; "groups" => read.plan.groups.len(), "epoch" => read.plan.epoch, "revision" => read.revision);
+                    debug!(node.log, "plan read"; "groups" => read.plan.groups.len(), "epoch" => read.plan.epoch, "revision" => read.revision);
                     read
                 }
                 Err(error) => {
@@ -130,6 +127,7 @@
             Ok(plan) => Ok(Stored {
                 plan,
                 revision: Some(object.revision),
+                read: node.now(),
             }),
             Err(error) => {
                 warn!(node.log, "plan not usable, planning anew"; "cause" => %error);
@@ -140,10 +138,14 @@
                         ..Plan::default()
                     },
                     revision: Some(object.revision),
+                    read: node.now(),
                 })
             }
         },
-        Err(StoreError::Absent) => Ok(Stored::default()),
+        Err(StoreError::Absent) => Ok(Stored {
+            read: node.now(),
+            ..Stored::default()
+        }),
         Err(error) => Err(error),
     }
 }
@@ -168,6 +170,10 @@
             loop {
                 match self.step(&catalog, &service.name, &stored.plan) {
                     Step::Store(plan) => stored = self.store(stored, plan).await?,
+                    Step::Reread => {
+                        info!(self.node.log, "plan is outdated"; "epoch" => stored.plan.epoch);
+                        return None;
+                    }
                     Step::Orders(orders) => {
                         self.give(&stored.plan, orders);
                         break;
@@ -182,37 +188,7 @@
         let node = &self.node;
         let now = node.now();
         let state = node.state.borrow();
-        let own = state.roster.iter().filter(|e| *e.service == *service);
-        let mut views: Vec<VmView<'_>> = own
-            .map(|endpoint| VmView {
-                endpoint,
-                vitality: state.monitor.vitality(now, &endpoint.id, endpoint.born),
-                evacuated: state.roster.is_evacuated(&endpoint.data_centre),
-                departed: false,
-            })
-            .collect();
-        let departed = state.roster.departed().map(|d| &d.endpoint);
-        views.extend(
-            departed
-                .filter(|e| *e.service == *service)
-                .map(|endpoint| VmView {
-                    endpoint,
-                    vitality: Vitality::Suspect,
-                    evacuated: false,
-                    departed: true,
-                }),
-        );
-        let silent = views
-            .iter()
-            .filter(|v| v.vitality == Vitality::Silent)
-            .count();
-        if silent as f64 > views.len() as f64 * CUT_OFF_PART {
-            for view in &mut views {
-                if view.vitality == Vitality::Silent {
-                    view.vitality = Vitality::Suspect;
-                }
-            }
-        }
+        let views = survey(now, service, &state.roster, &state.monitor);
         let limits = LoadLimits {
             in_traffic: state.in_traffic,
             rate_part: LOAD_RATE_PART,
@@ -241,6 +217,7 @@
                 Some(Stored {
                     plan,
                     revision: Some(object.revision),
+                    read: node.now(),
                 })
             }
             Err(error) => {
@@ -270,60 +247,29 @@
     fn give(self: &Rc<Self>, plan: &Plan, orders: Vec<Order>) {
         let fence = self.node.settings.bounds.fencing.then_some(plan.epoch);
         for order in orders {
-            let Some(endpoint) = self.receiver(&order) else {
+            let found = self
+                .node
+                .state
+                .borrow()
+                .roster
+                .get(&order.endpoint)
+                .cloned();
+            let Some(endpoint) = found else {
                 continue;
             };
             let controller = self.clone();
             spawn_local(async move {
                 let node = &controller.node;
                 let answer = controller.links.give(node, &endpoint, &order, fence).await;
-                controller.planner.borrow_mut().on_answer(&order, answer);
-                controller.settle_departed(&order, answer);
+                controller
+                    .planner
+                    .borrow_mut()
+                    .on_answer(&order, endpoint.born, answer);
                 node.planner_wake.notify_one();
             });
         }
     }
 
-    fn receiver(&self, order: &Order) -> Option<Endpoint> {
-        let state = self.node.state.borrow();
-        let known = state.roster.get(&order.endpoint);
-        let mut departed = state.roster.departed().map(|d| &d.endpoint);
-        known
-            .or_else(|| departed.find(|e| e.id == order.endpoint))
-            .cloned()
-    }
-
-    /// Forgets a departed head once it has left its group or is gone.
-    fn settle_departed(&self, order: &Order, answer: OrderAnswer) {
-        let now = self.node.now();
-        let mut state = self.node.state.borrow_mut();
-        let mut departed = state.roster.departed();
-        let Some(since) = departed
-            .find(|d| d.endpoint.id == order.endpoint)
-            .map(|d| d.since)
-        else {
-            return;
-        };
-        drop(departed);
-        let mut unreached = self.unreached.borrow_mut();
-        let tries = unreached.entry(order.endpoint.clone()).or_default();
-        *tries += 1;
-        let settled = match answer {
-            OrderAnswer::NotListening => {
-                let busy = state.batch(now, &order.endpoint).requests > 0.0;
-                let age = now.since(since);
-                age >= DEPARTED_MOST || (!busy && age >= DEPARTED_LINGER)
-            }
-            OrderAnswer::Unknown => *tries >= DEPARTED_TRIES,
-            _ => true,
-        };
-        if settled {
-            unreached.remove(&order.endpoint);
-            state.roster.forget_departed(&order.endpoint);
-            info!(self.node.log, "departed head settled"; "endpoint" => &*order.endpoint, "answer" => %answer);
-        }
-    }
-
     /// Probes the VMs whose turn it is.
     fn probe(self: &Rc<Self>, plan: &Plan) {
         for endpoint in self.due(plan) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -291,7 +291,7 @@
     }
 
     /// Returns what all entries have in flight at an endpoint.
-    pub(crate) fn batch(&self, now: Time, id: &Name) -> Batch {
+    fn batch(&self, now: Time, id: &Name) -> Batch {
         let own = self.loads.get(id).copied().unwrap_or_default();
         let (requests, unread) = self.peers.load(now, load_key(id));
         Batch {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -208,10 +208,6 @@
     info!(node.log, "endpoint gone"; "endpoint" => id);
     node.links.drop_endpoint(id);
     let mut state = node.state.borrow_mut();
-    if state.monitor.is_silent(id) {
-        // It vanished from the network and from the store: it is gone.
-        state.roster.forget_departed(id);
-    }
     state.monitor.forget(id);
     state.cold.remove(id);
     node.planner_wake.notify_one();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,9 +31,9 @@
 pub use peers::{HeadLoad, Peer, PeerBook, PeerNews, PeerSettings, Suspicion};
 pub use place::{Candidate, ColdAllowance, PlaceSettings, Placement, choose_head};
 pub use plan::{GroupPlan, MemberPlan, Plan};
-pub use planner::{GroupSettings, LoadLimits, Planner, Step, VmView};
+pub use planner::{GroupSettings, LoadLimits, Planner, Step, VmView, survey};
 pub use pool::{PlainChoice, PlainLoad, choose_plain};
-pub use roster::{Departed, Roster, RosterChange};
+pub use roster::{Roster, RosterChange};
 pub use waiting::{Turn, WaitingLine, WaitingSettings};
 
 /// A name that is shared by many records.
--- a/crates/fleet/src/monitor.rs
+++ b/crates/fleet/src/monitor.rs
@@ -141,14 +141,6 @@
         Vitality::Alive
     }
 
-    /// Returns whether an endpoint has left several probes in a row unanswered
-    /// without refusing any.
-    #[must_use]
-    pub fn is_silent(&self, id: &str) -> bool {
-        let silent = |s: &Signs| s.refused == 0 && s.failed_probes >= self.settings.silent_probes;
-        self.signs.get(id).is_some_and(silent)
-    }
-
     /// Forgets endpoints that are no longer in the roster.
     pub fn forget(&mut self, id: &str) {
         self.signs.remove(id);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -6,8 +6,8 @@
 //!
 //! - One list of members has one epoch, and epochs only grow. A VM refuses an
 //!   epoch lower than one that it has seen, so a late order to join is harmless.
-//! - A VM joins a group only after the head of its former group has left that
-//!   group or is gone: a late order to open then finds no group.
+//! - A VM joins a group only after it has left its former one. A head whose
+//!   members have left stands still, and a late order to open it finds no group.
 //! - A head is opened only after every member reported ready for that epoch.
 //!
 //! Answers the loss of single members under load: a spare VM whose host has the
@@ -19,13 +19,15 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
+use smallvec::SmallVec;
 
 use crate::Name;
 use crate::catalog::{Engine, Model, Service};
 use crate::endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
-use crate::monitor::Vitality;
+use crate::monitor::{Monitor, Vitality};
 use crate::orders::{Order, OrderAnswer, OrderKind};
 use crate::plan::{GroupPlan, Plan};
+use crate::roster::Roster;
 
 /// How groups are formed and repaired.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,17 +81,11 @@
     pub vitality: Vitality,
     /// Whether its data centre is out of service.
     pub evacuated: bool,
-    /// Whether the store holds no record of it any more.
-    pub departed: bool,
 }
 
 impl VmView<'_> {
     fn is_lost(&self) -> bool {
-        self.departed || matches!(self.vitality, Vitality::Dead | Vitality::Silent)
-    }
-
-    fn is_leaving_unheard(&self) -> bool {
-        self.vitality == Vitality::Dead && self.endpoint.phase == EndpointPhase::Draining
+        matches!(self.vitality, Vitality::Dead | Vitality::Silent)
     }
 
     fn is_usable(&self) -> bool {
@@ -123,6 +119,38 @@
     }
 }
 
+/// Part of the VMs that are silent at once from which on an entry takes itself for
+/// cut off and none of them for lost.
+const CUT_OFF_PART: f64 = 0.4;
+
+/// Returns how the planner sees the VMs of a service.
+#[must_use]
+pub fn survey<'a>(
+    now: Time,
+    service: &str,
+    roster: &'a Roster,
+    monitor: &Monitor,
+) -> Vec<VmView<'a>> {
+    let own = roster.iter().filter(|e| *e.service == *service);
+    let mut views: Vec<VmView<'_>> = own
+        .map(|endpoint| VmView {
+            endpoint,
+            vitality: monitor.vitality(now, &endpoint.id, endpoint.born),
+            evacuated: roster.is_evacuated(&endpoint.data_centre),
+        })
+        .collect();
+    let silent = views
+        .iter()
+        .filter(|v| v.vitality == Vitality::Silent)
+        .count();
+    if silent as f64 > views.len() as f64 * CUT_OFF_PART {
+        for view in views.iter_mut().filter(|v| v.vitality == Vitality::Silent) {
+            view.vitality = Vitality::Suspect;
+        }
+    }
+    views
+}
+
 /// What is to be done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -130,6 +158,8 @@
     Store(Plan),
     /// Give these orders.
     Orders(Vec<Order>),
+    /// Read the plan again: a VM follows a newer one.
+    Reread,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -151,6 +181,8 @@
     closing: HashMap<Name, Time>,
     loads: Vec<Time>,
     loading: HashMap<Name, Loading>,
+    /// Incarnation and epoch with which VMs answered that they have left.
+    left: HashMap<Name, (u64, u64)>,
     /// The number of VMs, and since when it is that.
     seen: Option<(usize, Time)>,
 }
@@ -180,6 +212,7 @@
             closing: HashMap::new(),
             loads: Vec::new(),
             loading: HashMap::new(),
+            left: HashMap::new(),
             seen: None,
         }
     }
@@ -204,6 +237,10 @@
         };
         let own = views.iter().filter(|v| v.endpoint.service == service.name);
         let vms: Vms<'_> = own.map(|v| (&*v.endpoint.id, *v)).collect();
+        let epochs = vms.values().filter_map(VmView::membership).map(|m| m.epoch);
+        if epochs.max().is_some_and(|newest| newest > plan.epoch) {
+            return Step::Reread;
+        }
         let growing = self.is_growing(now, vms.len());
         if growing && plan.groups.is_empty() && !limits.in_traffic {
             return Step::Orders(Vec::new());
@@ -232,8 +269,12 @@
         }
     }
 
-    /// Takes the answer to an order.
-    pub fn on_answer(&mut self, order: &Order, answer: OrderAnswer) {
+    /// Takes the answer of an incarnation to an order.
+    pub fn on_answer(&mut self, order: &Order, born: u64, answer: OrderAnswer) {
+        if order.kind == OrderKind::Leave && answer == OrderAnswer::Done {
+            self.left
+                .insert(order.endpoint.clone(), (born, order.epoch));
+        }
         if let Some(sent) = self.sent.get_mut(&order.endpoint)
             && sent.label == order.kind.label()
         {
@@ -262,7 +303,8 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.closing.retain(|id, _| vms.contains_key(&**id));
-        for vm in vms.values().filter(|v| v.departed || !v.is_lost()) {
+        self.left.retain(|id, _| vms.contains_key(&**id));
+        for vm in vms.values().filter(|v| !v.is_lost()) {
             orders.extend(self.part_from_old_group(now, engine, plan, vms, vm));
         }
         self.drop_finished_loads(now, vms);
@@ -276,7 +318,8 @@
         orders
     }
 
-    /// Makes a head leave a group that the plan doesn't hold (any more).
+    /// Makes a VM leave a group that the plan doesn't hold (any more). A head that
+    /// still has all members finishes its requests first, and they stay with it.
     fn part_from_old_group(
         &mut self,
         now: Time,
@@ -290,26 +333,25 @@
             .groups
             .iter()
             .any(|g| vm.is_in(g) && g.has(&vm.endpoint.id));
-        if planned || !membership.is_head() || is_standby(membership) {
+        if planned || is_standby(membership) {
             self.closing.remove(&vm.endpoint.id);
             return None;
         }
-        let same = |v: &&VmView<'_>| {
-            !v.is_lost()
-                && v.membership()
-                    .is_some_and(|m| m.group == membership.group && m.epoch == membership.epoch)
-        };
-        let present = vms.values().filter(same).count();
+        let mates = vms.values().filter(|v| !v.is_lost());
+        let mates = mates.filter_map(|v| Some((v, v.membership()?)));
+        let mates =
+            mates.filter(|(_, m)| m.group == membership.group && m.epoch == membership.epoch);
+        let mates: SmallVec<[(&VmView<'_>, &Membership); 8]> = mates.collect();
         let model = vm.endpoint.model.as_deref();
         let size = engine.models.iter().find(|m| Some(&*m.name) == model);
-        let whole = size.is_some_and(|m| present >= m.size);
+        let whole = size.is_some_and(|m| mates.len() >= m.size);
+        let serving = mates.iter().any(|(_, m)| m.is_serving());
         let since = *self.closing.entry(vm.endpoint.id.clone()).or_insert(now);
         let overdue = now.since(since) >= self.settings.closing;
         let kind = match membership.state {
-            _ if vm.departed => OrderKind::Leave,
-            GroupState::Open if whole && !overdue => OrderKind::Close,
-            GroupState::Closing if whole && !overdue => return None,
-            _ => OrderKind::Leave,
+            _ if !whole || !serving || overdue => OrderKind::Leave,
+            GroupState::Open => OrderKind::Close,
+            _ => return None,
         };
         self.give(now, vm.endpoint, &membership.group, membership.epoch, kind)
     }
@@ -337,7 +379,7 @@
         let names: Vec<Name> = members.iter().map(|v| v.endpoint.id.clone()).collect();
         let name: Name = group.name.as_str().into();
         for vm in members.iter().filter(|v| !v.is_in(group)) {
-            if !is_free_to_join(vm, vms) || !self.may_load(now, engine, model, vm, limits) {
+            if !self.is_free_to_join(vm) || !self.may_load(now, engine, model, vm, limits) {
                 continue;
             }
             let kind = OrderKind::Join {
@@ -367,6 +409,14 @@
         }
     }
 
+    /// Returns whether a VM is in no group that could serve: it was never in one,
+    /// or it has left it.
+    fn is_free_to_join(&self, vm: &VmView<'_>) -> bool {
+        let left = self.left.get(&vm.endpoint.id);
+        vm.membership()
+            .is_none_or(|old| is_standby(old) || left == Some(&(vm.endpoint.born, old.epoch)))
+    }
+
     fn may_load(
         &self,
         now: Time,
@@ -459,37 +509,3 @@
 fn is_standby(membership: &Membership) -> bool {
     membership.group.contains(STANDBY_MARK)
 }
-
-/// Returns whether the head of a VM's former group has left that group or is gone.
-fn is_free_to_join(vm: &VmView<'_>, vms: &Vms<'_>) -> bool {
-    let Some(old) = vm.membership() else {
-        return true;
-    };
-    if is_standby(old) {
-        return true;
-    }
-    if old.is_head() {
-        return false;
-    }
-    let is_head = |v: &&VmView<'_>| {
-        v.membership()
-            .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
-    };
-    vms.values()
-        .find(is_head)
-        .is_none_or(|head| head.vitality == Vitality::Dead)
-}
-
-/// Returns whether a VM can't join another group because the head of its former
-/// group is silent: it may be cut off from this entry and serve on.
-fn is_held(vm: &VmView<'_>, vms: &Vms<'_>) -> bool {
-    let Some(old) = vm.membership().filter(|m| !m.is_head()) else {
-        return false;
-    };
-    let silent_head = |v: &VmView<'_>| {
-        (v.departed || v.vitality == Vitality::Silent || v.is_leaving_unheard())
-            && v.membership()
-                .is_some_and(|m| m.is_head() && m.group == old.group && m.epoch == old.epoch)
-    };
-    vms.values().any(silent_head)
-}
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{GroupSettings, STANDBY_MARK, VmView, Vms, Weights, is_held};
+use super::{GroupSettings, STANDBY_MARK, VmView, Vms, Weights};
 use crate::catalog::{Engine, Model};
 use crate::endpoint::EndpointPhase;
 use crate::plan::{GroupPlan, MemberPlan, Plan};
@@ -21,7 +21,14 @@
     repair(engine, service, vms, &mut next, weights);
     form(engine, service, vms, &mut next, weights);
     stand_by(engine, service, vms, &mut next);
-    (next != *plan).then_some(next)
+    if next == *plan {
+        return None;
+    }
+    // Each plan has an epoch of its own, also one that only gives groups up.
+    if next.epoch == plan.epoch {
+        next.draw_epoch();
+    }
+    Some(next)
 }
 
 /// Sets the number of groups of each model from its share of the work. The number
@@ -92,8 +99,7 @@
         };
     }
     let evacuated = kept.iter().any(|m| vms[m.id.as_str()].evacuated);
-    let held = kept.iter().any(|m| is_held(&vms[m.id.as_str()], vms));
-    let Some(anchor) = kept.first().filter(|_| !evacuated && !held) else {
+    let Some(anchor) = kept.first().filter(|_| !evacuated) else {
         return if lost > 0 {
             Mended::Hopeless
         } else {
@@ -326,9 +332,7 @@
 
 /// Returns the VMs that no group has and that can be used.
 fn free<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan) -> Vec<&'a VmView<'v>> {
-    let free = |v: &&VmView<'_>| {
-        v.is_usable() && plan.group_of(&v.endpoint.id).is_none() && !is_held(v, vms)
-    };
+    let free = |v: &&VmView<'_>| v.is_usable() && plan.group_of(&v.endpoint.id).is_none();
     vms.values().filter(free).collect()
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -10,7 +10,7 @@
 use bulrushhoist_core::Time;
 
 use crate::Name;
-use crate::endpoint::{Endpoint, EndpointPhase, Membership};
+use crate::endpoint::{Endpoint, EndpointPhase};
 
 /// Time after the store's return within which lapsed records come back.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
@@ -29,21 +29,11 @@
     Same,
 }
 
-/// A head whose record was removed.
-#[derive(Clone, Debug)]
-pub struct Departed {
-    /// Its last record.
-    pub endpoint: Endpoint,
-    /// When the record was removed.
-    pub since: Time,
-}
-
 /// What is known of every endpoint.
 #[derive(Debug, Default)]
 pub struct Roster {
     endpoints: HashMap<Name, Endpoint>,
     removals: HashMap<Name, Time>,
-    departed: HashMap<Name, Departed>,
     evacuated: BTreeSet<Name>,
     far: BTreeSet<(Name, u64)>,
     store_lost: bool,
@@ -54,7 +44,6 @@
     /// Takes an endpoint's record.
     pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
         self.removals.remove(&endpoint.id);
-        self.departed.remove(&endpoint.id);
         let id = endpoint.id.clone();
         let change = self.replace(id, endpoint);
         if change != RosterChange::Same {
@@ -113,41 +102,10 @@
             self.removals.entry(name.clone()).or_insert(now);
             return false;
         }
-        self.depart(now, id);
+        self.endpoints.remove(id);
         true
     }
 
-    /// Drops a record. A head is remembered: it may be cut off from the store only
-    /// and still serve, and its members must not join another group until then.
-    fn depart(&mut self, now: Time, id: &str) {
-        let Some(endpoint) = self.endpoints.remove(id) else {
-            return;
-        };
-        if endpoint
-            .membership
-            .as_ref()
-            .is_some_and(Membership::is_head)
-        {
-            let id = endpoint.id.clone();
-            let departed = Departed {
-                endpoint,
-                since: now,
-            };
-            self.departed.insert(id, departed);
-        }
-    }
-
-    /// Returns the heads whose records were removed and that are not known to have
-    /// left their groups.
-    pub fn departed(&self) -> impl Iterator<Item = &Departed> {
-        self.departed.values()
-    }
-
-    /// Takes notice that a departed head has left its group or is gone.
-    pub fn forget_departed(&mut self, id: &str) {
-        self.departed.remove(id);
-    }
-
     /// Takes a complete list of the endpoints' names: the others were removed.
     pub fn retain(&mut self, now: Time, listed: &BTreeSet<Name>) -> Vec<Name> {
         let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
@@ -179,7 +137,7 @@
         }
         let gone: Vec<Name> = self.removals.drain().map(|(id, _)| id).collect();
         for id in &gone {
-            self.depart(now, id);
+            self.endpoints.remove(id);
         }
         gone
     }
--- /dev/null
+++ b/crates/fleet/tests/catalog.rs
@@ -0,0 +1,93 @@
+//! Routes, keys and weighted targets.
+
+mod support;
+
+use bulrushhoist_fleet::{Catalog, Denial, Target, Team};
+use smallvec::smallvec;
+use support::{limits, route, service};
+
+fn team(name: &str) -> Team {
+    Team {
+        name: name.into(),
+        priority: Some(2),
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut open = route("open", "/open/", "engines");
+    open.public = true;
+    let routes = vec![
+        route("short", "/a/", "engines"),
+        route("long", "/a/b/", "engines"),
+        open,
+    ];
+    let teams = vec![(team("bench"), vec!["key-1".to_owned(), "key-2".to_owned()])];
+    Catalog::new(7, routes, vec![service()], Some(teams), limits())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let catalog = catalog();
+    assert_eq!(
+        &*catalog.route("shop.example", "/a/b/c").unwrap().name,
+        "long"
+    );
+    assert_eq!(
+        &*catalog.route("shop.example", "/a/x").unwrap().name,
+        "short"
+    );
+    assert_eq!(
+        catalog.route("shop.example", "/b/").unwrap_err(),
+        Denial::NoRoute
+    );
+    assert_eq!(
+        catalog.route("other.example", "/a/").unwrap_err(),
+        Denial::NoRoute
+    );
+    assert_eq!(
+        catalog.route("shop.example", "/a").unwrap_err(),
+        Denial::NoRoute
+    );
+}
+
+#[test]
+fn a_key_names_its_team_unless_the_route_is_public() {
+    let catalog = catalog();
+    let closed = catalog.route("shop.example", "/a/x").unwrap();
+    let open = catalog.route("shop.example", "/open/").unwrap();
+    assert_eq!(
+        &*catalog.team(closed, Some("key-2")).unwrap().unwrap().name,
+        "bench"
+    );
+    assert_eq!(
+        catalog.team(closed, Some("key-3")).unwrap_err(),
+        Denial::UnknownKey
+    );
+    assert_eq!(catalog.team(closed, None).unwrap_err(), Denial::UnknownKey);
+    assert_eq!(catalog.team(open, None).unwrap(), None);
+}
+
+#[test]
+fn weights_split_the_calls() {
+    let mut split = route("split", "/s/", "old");
+    split.targets = smallvec![
+        Target {
+            service: "old".into(),
+            weight: 90,
+        },
+        Target {
+            service: "new".into(),
+            weight: 10,
+        },
+        Target {
+            service: "never".into(),
+            weight: 0,
+        },
+    ];
+    let new = (0..1_000).filter(|i| {
+        let draw = f64::from(*i) / 1_000.0;
+        &**split.target(draw).unwrap() == "new"
+    });
+    assert_eq!(new.count(), 100);
+    assert_eq!(&**split.target(1.0).unwrap(), "new");
+}
--- /dev/null
+++ b/crates/fleet/tests/load.rs
@@ -0,0 +1,170 @@
+//! Placement and waiting when load is at its worst.
+
+mod support;
+
+use std::time::Duration;
+
+use bulrushhoist_fleet::{
+    Batch, Candidate, PlaceSettings, Placement, PlainChoice, PlainLoad, Turn, WaitingLine,
+    WaitingSettings, Work, choose_head, choose_plain, longest_pass,
+};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use support::{engine, ms};
+
+fn candidate(id: &str, requests: f64) -> Candidate {
+    Candidate {
+        id: id.into(),
+        batch: Batch {
+            requests,
+            unread: 0.0,
+        },
+        near: true,
+        slowness: 1.0,
+        spent: false,
+    }
+}
+
+fn place(candidates: &[Candidate], seed: u64) -> Placement {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let work = Work {
+        prompt: 1_000,
+        answer: 100,
+    };
+    choose_head(
+        &PlaceSettings::default(),
+        &engine(),
+        1.0,
+        candidates,
+        work,
+        &mut rng,
+    )
+}
+
+#[test]
+fn a_head_with_less_work_is_chosen() {
+    for seed in 0..50 {
+        let chosen = place(&[candidate("busy", 7.0), candidate("idle", 0.0)], seed);
+        assert!(matches!(chosen, Placement::Head(id, _) if &*id == "idle"));
+    }
+}
+
+#[test]
+fn a_slow_head_gets_work_only_when_the_others_are_much_busier() {
+    let mut slow = candidate("slow", 0.0);
+    slow.slowness = 2.5;
+    let chosen = place(&[slow.clone(), candidate("near", 4.0)], 1);
+    assert!(matches!(chosen, Placement::Head(id, _) if &*id == "near"));
+    let chosen = place(&[slow, candidate("near", 8.0)], 1);
+    assert!(matches!(chosen, Placement::Head(id, _) if &*id == "slow"));
+}
+
+#[test]
+fn entries_with_the_same_view_spread_over_equal_heads() {
+    let heads: Vec<Candidate> = (0..8).map(|i| candidate(&format!("h{i}"), 0.0)).collect();
+    let mut counts = std::collections::BTreeMap::new();
+    for seed in 0..700 {
+        if let Placement::Head(id, _) = place(&heads, seed) {
+            *counts.entry(id).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(counts.len(), 8);
+    assert!(counts.values().all(|n| *n < 700 / 4), "{counts:?}");
+}
+
+#[test]
+fn full_and_spent_heads_make_requests_wait() {
+    let mut spent = candidate("cold", 0.0);
+    spent.spent = true;
+    assert_eq!(place(&[spent, candidate("full", 8.0)], 1), Placement::Full);
+    assert_eq!(place(&[], 1), Placement::Nowhere);
+}
+
+#[test]
+fn a_sound_head_is_never_silent_for_longer_than_its_longest_pass() {
+    let pass = longest_pass(&engine(), 1.0);
+    assert!(
+        pass > Duration::from_millis(200) && pass < Duration::from_millis(300),
+        "{pass:?}"
+    );
+}
+
+fn turn(id: u64, since: u64, objective: u64, deadline: u64) -> Turn {
+    Turn {
+        id,
+        urgency: 1,
+        since: ms(since),
+        objective: ms(objective),
+        deadline: ms(deadline),
+    }
+}
+
+#[test]
+fn work_that_can_still_be_on_time_goes_before_work_that_is_late() {
+    let mut line = WaitingLine::new(WaitingSettings::default());
+    line.join(ms(0), turn(1, 0, 300, 6_000)).unwrap();
+    line.on_start(ms(350));
+    line.join(ms(400), turn(2, 400, 900, 8_000)).unwrap();
+    let next = line.next(ms(500), Duration::from_millis(100)).unwrap();
+    assert_eq!(next.id, 2, "the first one has missed its objective already");
+    assert_eq!(
+        line.next(ms(500), Duration::from_millis(100)).unwrap().id,
+        1
+    );
+}
+
+#[test]
+fn what_cannot_start_in_time_is_turned_away_at_once() {
+    let mut line = WaitingLine::new(WaitingSettings::default());
+    for i in 0..20 {
+        line.on_start(ms(i * 100));
+    }
+    let mut turned_away = 0;
+    for id in 0..100 {
+        match line.join(ms(2_000), turn(id, 2_000, 2_300, 8_000)) {
+            Ok(()) => {}
+            Err(wait) => {
+                turned_away += 1;
+                assert!(wait >= Duration::from_secs(2), "{wait:?}");
+            }
+        }
+    }
+    // Ten starts a second and 2.4 s of patience carry about 24 requests.
+    assert!((70..80).contains(&turned_away), "{turned_away}");
+    assert!(line.overdue(ms(4_000)).is_empty());
+    assert_eq!(line.overdue(ms(4_500)).len(), 100 - turned_away);
+}
+
+fn plain(id: &str, requests: u32, near: bool) -> PlainLoad {
+    PlainLoad {
+        id: id.into(),
+        requests,
+        slots: 6,
+        near,
+        suspect: false,
+        tried: false,
+    }
+}
+
+#[test]
+fn plain_calls_stay_near_while_there_is_room_and_avoid_suspects() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let near = plain("near", 1, true);
+    let far = plain("far", 0, false);
+    let chosen = choose_plain(&[near.clone(), far.clone()], &mut rng);
+    assert_eq!(chosen, PlainChoice::Endpoint("near".into()));
+    let full = plain("near", 6, true);
+    let chosen = choose_plain(&[full, far.clone()], &mut rng);
+    assert_eq!(chosen, PlainChoice::Endpoint("far".into()));
+    let mut suspect = near;
+    suspect.suspect = true;
+    let chosen = choose_plain(&[suspect.clone(), far.clone()], &mut rng);
+    assert_eq!(chosen, PlainChoice::Endpoint("far".into()));
+    suspect.tried = true;
+    let mut tried = far;
+    tried.tried = true;
+    assert_eq!(
+        choose_plain(&[suspect, tried], &mut rng),
+        PlainChoice::Nowhere
+    );
+}
