Give no order again while a record lags; send late requests to another entry during a stop

Change: an answered order to leave counts until the record follows; 2.9 s after SIGTERM requests that might outlast the process are refused at once.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -36,13 +36,21 @@
 /// Time for which a suspicion is told to the other entries.
 const SUSPICION_NEWS: Duration = Duration::from_millis(1_500);
 
+/// Time after the signal to stop in which every request is still taken.
+const STILL_SERVED: Duration = Duration::from_millis(2_900);
+/// Time before the end of the grace period at which the process ends.
+pub(crate) const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// Whether the entry takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
     /// It takes callers as soon as it knows enough.
     Serving,
     /// It was told to stop: other entries take new callers.
-    Leaving,
+    Leaving {
+        /// When it was told.
+        since: Time,
+    },
 }
 
 /// What this entry has in flight at one endpoint.
@@ -164,6 +172,17 @@
         state.phase == Phase::Serving && state.catalog.limits().is_some() && state.has_roster
     }
 
+    /// Returns whether a request that may last until `end` should go to another
+    /// entry because this one stops before. Callers that hold an older directory
+    /// answer are still served at first.
+    pub(crate) fn stops_before(&self, end: Time) -> bool {
+        let Phase::Leaving { since } = self.state.borrow().phase else {
+            return false;
+        };
+        let stop = since + self.settings.bounds.grace;
+        self.now().since(since) >= STILL_SERVED && end + STOP_MARGIN > stop
+    }
+
     /// Takes notice of a failed or stalled request at an endpoint.
     pub(crate) fn suspect(&self, endpoint: &Name, born: u64, cause: &str) {
         let now = self.now();
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -33,6 +33,8 @@
     AnswerLost,
     /// The time for an answer is over.
     TimedOut,
+    /// The entry stops before the request could end.
+    Stopping,
 }
 
 impl Refusal {
@@ -52,7 +54,8 @@
             | Self::LineFull
             | Self::WaitedOut
             | Self::Quarantined
-            | Self::EndpointRefused => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::EndpointRefused
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::{Dialect, ObjectKind};
 use crate::metrics::Metrics;
-use crate::node::{Node, Phase};
+use crate::node::{Node, Phase, STOP_MARGIN};
 use crate::peers::{self, PeerSocket};
 use crate::serve::{self, Port, Stop};
 use crate::settings::Settings;
@@ -23,8 +23,6 @@
 /// Time after the signal to stop during which connections are kept: callers that
 /// hold an older directory answer go on using them.
 const KEEP_OPEN: Duration = Duration::from_millis(3_500);
-/// Part of the grace period that is left for the last requests to end.
-const MARGIN: Duration = Duration::from_millis(700);
 
 /// Messages that tell the other entries of a stop; datagrams may be lost.
 const STOP_NOTICES: usize = 3;
@@ -108,14 +106,15 @@
         }
     }
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis() as u64);
-    node.state.borrow_mut().phase = Phase::Leaving;
+    let since = node.now();
+    node.state.borrow_mut().phase = Phase::Leaving { since };
     for _ in 0..STOP_NOTICES {
         socket.publish(&node);
     }
     tokio::time::sleep(KEEP_OPEN.min(grace / 2)).await;
     // Fails only if every connection has ended.
     let _ = stop.send(Stop::Finish);
-    let end = tokio::time::Instant::now() + grace.saturating_sub(KEEP_OPEN + MARGIN);
+    let end = tokio::time::Instant::now() + grace.saturating_sub(KEEP_OPEN + STOP_MARGIN);
     let refuse_from = end - grace.mul_f64(0.15).min(Duration::from_secs(1));
     tokio::time::sleep_until(refuse_from).await;
     accepting.abort();
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -185,6 +185,9 @@
             version: state.catalog.version,
         }
     };
+    if node.stops_before(call.end) {
+        return refuse(node, &id, received, Refusal::Stopping, Some(&about));
+    }
     let verdict = node
         .state
         .borrow_mut()
@@ -270,7 +273,9 @@
     let mut response = plain_status(status);
     let headers = response.headers_mut();
     headers.insert(node.dialect.headers().request_id.clone(), id.clone());
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if refusal == Refusal::Stopping {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
+    } else if status == StatusCode::SERVICE_UNAVAILABLE {
         let spread = node
             .state
             .borrow_mut()
@@ -285,7 +290,7 @@
         refusal,
         Refusal::TooLarge | Refusal::BadRequest | Refusal::SlowBody
     );
-    if closes || node.state.borrow().phase == Phase::Leaving {
+    if closes || node.state.borrow().phase != Phase::Serving {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -166,7 +166,6 @@
 struct Sent {
     at: Time,
     epoch: u64,
-    label: &'static str,
     answer: Option<OrderAnswer>,
 }
 
@@ -177,7 +176,7 @@
 #[derive(Debug)]
 pub struct Planner {
     settings: GroupSettings,
-    sent: HashMap<Name, Sent>,
+    sent: HashMap<(Name, &'static str), Sent>,
     closing: HashMap<Name, Time>,
     loads: Vec<Time>,
     loading: HashMap<Name, Loading>,
@@ -275,9 +274,8 @@
             self.left
                 .insert(order.endpoint.clone(), (born, order.epoch));
         }
-        if let Some(sent) = self.sent.get_mut(&order.endpoint)
-            && sent.label == order.kind.label()
-        {
+        let key = (order.endpoint.clone(), order.kind.label());
+        if let Some(sent) = self.sent.get_mut(&key) {
             sent.answer = Some(answer);
         }
         let refused = matches!(
@@ -304,6 +302,7 @@
         let mut orders = Vec::new();
         self.closing.retain(|id, _| vms.contains_key(&**id));
         self.left.retain(|id, _| vms.contains_key(&**id));
+        self.sent.retain(|(id, _), _| vms.contains_key(&**id));
         for vm in vms.values().filter(|v| !v.is_lost()) {
             orders.extend(self.part_from_old_group(now, engine, plan, vms, vm));
         }
@@ -333,7 +332,7 @@
             .groups
             .iter()
             .any(|g| vm.is_in(g) && g.has(&vm.endpoint.id));
-        if planned || is_standby(membership) {
+        if planned || is_standby(membership) || self.has_left(vm, membership) {
             self.closing.remove(&vm.endpoint.id);
             return None;
         }
@@ -412,9 +411,13 @@
     /// Returns whether a VM is in no group that could serve: it was never in one,
     /// or it has left it.
     fn is_free_to_join(&self, vm: &VmView<'_>) -> bool {
-        let left = self.left.get(&vm.endpoint.id);
-        vm.membership()
-            .is_none_or(|old| is_standby(old) || left == Some(&(vm.endpoint.born, old.epoch)))
+        let old = vm.membership();
+        old.is_none_or(|old| is_standby(old) || self.has_left(vm, old))
+    }
+
+    /// Returns whether a VM answered that it has left; its record may be older.
+    fn has_left(&self, vm: &VmView<'_>, old: &Membership) -> bool {
+        self.left.get(&vm.endpoint.id) == Some(&(vm.endpoint.born, old.epoch))
     }
 
     fn may_load(
@@ -477,9 +480,9 @@
         kind: OrderKind,
     ) -> Option<Order> {
         let label = kind.label();
-        if let Some(sent) = self.sent.get(&endpoint.id)
+        let key = (endpoint.id.clone(), label);
+        if let Some(sent) = self.sent.get(&key)
             && sent.epoch == epoch
-            && sent.label == label
         {
             let wait = match sent.answer {
                 Some(OrderAnswer::Begun | OrderAnswer::Done) => self.settings.settle,
@@ -492,10 +495,9 @@
         let sent = Sent {
             at: now,
             epoch,
-            label,
             answer: None,
         };
-        self.sent.insert(endpoint.id.clone(), sent);
+        self.sent.insert(key, sent);
         Some(Order {
             endpoint: endpoint.id.clone(),
             address: endpoint.address,
