--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -363,6 +363,7 @@
     let own = |g: &GroupPlan| g.standby && g.service == service;
     plan.groups
         .retain(|g| !own(g) || g.members.iter().all(usable));
+    release_for_lacking(engine, service, vms, plan);
     let mut stock = Stock::count(service, vms, plan);
     let in_none =
         |v: &&VmView<'_>| v.is_usable() && !plan.groups.iter().any(|g| g.has(&v.endpoint.id));
@@ -393,6 +394,32 @@
     }
 }
 
+/// Takes spares of models that have all groups off standby, for models that lack
+/// members: a load takes long, but nobody else would ever load the weights.
+fn release_for_lacking(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+    loop {
+        let stock = Stock::count(service, vms, plan);
+        let idle = vms.values().filter(|v| v.is_usable());
+        let idle = idle
+            .filter(|v| !plan.groups.iter().any(|g| g.has(&v.endpoint.id)))
+            .count();
+        let lacks = |m: &&Model| stock.lacking(m, vms, plan) > idle;
+        if !engine.models.iter().any(|m| lacks(&m)) {
+            return;
+        }
+        let complete = |g: &GroupPlan| {
+            let model = engine.models.iter().find(|m| *m.name == *g.model);
+            g.standby
+                && g.service == service
+                && model.is_none_or(|m| missing_groups(m, vms, plan) == 0)
+        };
+        let Some(index) = plan.groups.iter().position(complete) else {
+            return;
+        };
+        plan.groups.remove(index);
+    }
+}
+
 /// How many members and spares there are of each model in each domain.
 struct Stock {
     members: BTreeMap<(String, String), usize>,
