--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, Name, Placement, Turn};
+use bulrushhoist_fleet::{Endpoint, GroupState, Name, Placement, Turn};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -277,7 +277,12 @@
             node.suspect(&endpoint.id, endpoint.born, "stream broke");
             let now = node.now();
             let mut state = node.state.borrow_mut();
-            state.strike(now, call.fingerprint, &endpoint.id, endpoint.born);
+            // A head that was told to leave its group breaks streams off, too.
+            let known = state.roster.get(&endpoint.id);
+            let membership = known.and_then(|e| e.membership.as_ref());
+            if membership.is_none_or(|m| m.state == GroupState::Open) {
+                state.strike(now, call.fingerprint, &endpoint.id, endpoint.born);
+            }
         }
         Failed::MayHaveRun(RetryCause::Silent) => {
             node.suspect(&endpoint.id, endpoint.born, "stream stalled");
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -48,7 +48,7 @@
             spare_part: 0.25,
             resend: Duration::from_millis(700),
             settle: Duration::from_millis(1_500),
-            closing: Duration::from_secs(7),
+            closing: Duration::from_millis(1_000),
         }
     }
 }
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -4,7 +4,7 @@
 
 use super::{GroupSettings, STANDBY_MARK, VmView, Vms, Weights};
 use crate::catalog::{Engine, Model};
-use crate::endpoint::EndpointPhase;
+use crate::endpoint::{EndpointPhase, Membership};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
 /// Returns a better plan, or `None` if the present one needs no change.
@@ -122,8 +122,22 @@
     Mended::Replaced(members)
 }
 
+/// Returns whether every planned group of a model serves.
+fn all_open(vms: &Vms<'_>, plan: &Plan, model: &str) -> bool {
+    let is_open = |g: &GroupPlan| {
+        let head = vms.get(g.members[0].id.as_str());
+        head.is_some_and(|v| v.is_in(g) && v.membership().is_some_and(Membership::is_serving))
+    };
+    let mut groups = plan
+        .groups
+        .iter()
+        .filter(|g| !g.standby && g.model == model);
+    groups.all(is_open)
+}
+
 /// Returns members of one domain for a group over several, once enough VMs of the
-/// domain that most members are in have the model loaded.
+/// domain that most members are in have the model loaded. One group of a model at a
+/// time is moved, since it doesn't serve meanwhile.
 fn gathered(vms: &Vms<'_>, plan: &Plan, group: &GroupPlan) -> Option<Vec<MemberPlan>> {
     let domain_of = |m: &MemberPlan| &*vms[m.id.as_str()].endpoint.domain;
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
@@ -148,7 +162,7 @@
     let missing = group.members.len() - members.len();
     let mut spares = free_in(vms, plan, home);
     spares.retain(|v| v.distance_to(&group.model) == 0);
-    if spares.len() < missing {
+    if spares.len() < missing || !all_open(vms, plan, &group.model) {
         return None;
     }
     members.extend(spares.iter().take(missing).map(member));
