Two entries watch the store and the others follow them; cold allowance only while cold

Change: the entries with the lowest hashes among those in touch watch the store, one for 20 followers and two at least; a follower turns to the store when its relay is silent for 0.85 s. A planner whose own call to the store failed leaves planning to others for 3 s. The allowance binds while an endpoint is cold or may be.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -66,6 +66,16 @@
     Plans,
 }
 
+impl ObjectKind {
+    /// Kinds that every entry follows.
+    pub(crate) const FOLLOWED: [Self; 4] = [
+        Self::Configuration,
+        Self::Endpoints,
+        Self::Evacuations,
+        Self::Entries,
+    ];
+}
+
 /// An object as the store returns it.
 #[derive(Clone, Debug)]
 pub struct StoredObject {
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -113,6 +113,7 @@
                 }
                 Err(error) => {
                     warn!(node.log, "plan not read"; "cause" => %error);
+                    node.state.borrow_mut().store_failed = Some(node.now());
                     continue;
                 }
             },
@@ -224,7 +225,7 @@
                 warn!(node.log, "plan not stored"; "cause" => %error);
                 if matches!(error, StoreError::NoAnswer(_) | StoreError::Refused(_)) {
                     // Another entry may reach the store.
-                    node.state.borrow_mut().store_heard = None;
+                    node.state.borrow_mut().store_failed = Some(node.now());
                 }
                 None
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod outcome;
 mod peers;
 mod plain;
+mod relay;
 mod run;
 mod serve;
 mod settings;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,6 +25,7 @@
 use crate::dialect::Dialect;
 use crate::links::Links;
 use crate::metrics::Metrics;
+use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::store::StoreClient;
 
@@ -41,6 +42,9 @@
 /// Time before the end of the grace period at which the process ends.
 pub(crate) const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time after a failed call for which an entry leaves planning to others.
+const STORE_AVOIDED: Duration = Duration::from_secs(3);
+
 /// Whether the entry takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -87,7 +91,10 @@
     pub(crate) budgets: HashMap<Name, SharedBudget>,
     pub(crate) quarantine: Quarantine,
     pub(crate) suspicions: HashMap<Name, (u64, Time)>,
+    /// When the store, or an entry that it answers, was heard last.
     pub(crate) store_heard: Option<Time>,
+    /// When a call of the planner to the store failed last.
+    pub(crate) store_failed: Option<Time>,
     pub(crate) in_traffic: bool,
     pub(crate) planning: bool,
     pub(crate) next_turn: u64,
@@ -104,6 +111,7 @@
     pub(crate) store: StoreClient,
     pub(crate) state: RefCell<State>,
     pub(crate) links: Links,
+    pub(crate) relay: Relay,
     /// Wakes the planner when something changed that may call for orders.
     pub(crate) planner_wake: Notify,
 }
@@ -144,6 +152,7 @@
             quarantine: Quarantine::new(QuarantineSettings::default()),
             suspicions: HashMap::new(),
             store_heard: None,
+            store_failed: None,
             in_traffic: false,
             planning: false,
             next_turn: 0,
@@ -158,6 +167,7 @@
             store,
             state: RefCell::new(state),
             links: Links::default(),
+            relay: Relay::default(),
             planner_wake: Notify::new(),
         }
     }
@@ -306,7 +316,10 @@
     /// missing that may be back. At the very start there is nothing to miss.
     pub(crate) fn in_touch(&self, now: Time, within: Duration) -> bool {
         let heard = self.store_heard.is_some_and(|t| now.since(t) < within);
-        heard && self.has_roster && (!self.roster.is_unsettled(now) || !self.in_traffic)
+        let failed = self
+            .store_failed
+            .is_some_and(|t| now.since(t) < STORE_AVOIDED);
+        heard && !failed && self.has_roster && (!self.roster.is_unsettled(now) || !self.in_traffic)
     }
 
     /// Returns what all entries have in flight at an endpoint.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,7 +22,7 @@
 /// Messages in a row that must be missing before a peer counts as silent.
 const SILENT_INTERVALS: u32 = 4;
 /// Age of the store's last answer up to which an entry may plan.
-const STORE_TOUCH: Duration = Duration::from_millis(2_500);
+pub(crate) const STORE_TOUCH: Duration = Duration::from_millis(2_500);
 /// Bytes of a datagram at most.
 const DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Strikes that one message carries at most.
@@ -145,6 +145,11 @@
         };
     }
 
+    /// Returns where a peer takes datagrams; its relay has the same address.
+    pub(crate) fn address_of(&self, node: &str) -> Option<SocketAddr> {
+        self.addresses.borrow().get(node).copied()
+    }
+
     /// Sends this entry's news to every peer.
     pub(crate) fn publish(&self, node: &Node) {
         let sequence = self.sequence.get() + 1;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -27,6 +27,9 @@
 /// Messages that tell the other entries of a stop; datagrams may be lost.
 const STOP_NOTICES: usize = 3;
 
+/// Listeners that stay open until the end; each holds a receiver of the stop.
+const LISTENERS_LEFT: usize = 4;
+
 /// Why the process couldn't start.
 #[derive(Debug, Display, From)]
 pub enum StartError {
@@ -84,14 +87,16 @@
         }
         Err(error) => warn!(node.log, "metrics not served"; "cause" => %error),
     }
+    let listener = serve::listen(listen.peers)?;
+    spawn_local(serve::accept(
+        node.clone(),
+        listener,
+        Port::Relay,
+        stopping.clone(),
+    ));
     let listener = serve::listen(listen.front)?;
     let accepting = spawn_local(serve::accept(node.clone(), listener, Port::Front, stopping));
-    for kind in [
-        ObjectKind::Configuration,
-        ObjectKind::Endpoints,
-        ObjectKind::Evacuations,
-        ObjectKind::Entries,
-    ] {
+    for kind in ObjectKind::FOLLOWED {
         spawn_local(sync::follow(node.clone(), socket.clone(), kind));
     }
     spawn_local(sync::register(node.clone(), incarnation));
@@ -118,10 +123,10 @@
     let refuse_from = end - grace.mul_f64(0.15).min(Duration::from_secs(1));
     tokio::time::sleep_until(refuse_from).await;
     accepting.abort();
-    while stop.receiver_count() > 3 && tokio::time::Instant::now() < end {
+    while stop.receiver_count() > LISTENERS_LEFT && tokio::time::Instant::now() < end {
         tokio::time::sleep(SWEEP).await;
     }
-    let cut_off = stop.receiver_count().saturating_sub(3);
+    let cut_off = stop.receiver_count().saturating_sub(LISTENERS_LEFT);
     info!(node.log, "stopped"; "cut_off" => cut_off);
     Ok(())
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -45,6 +45,8 @@
     Own,
     /// Metrics.
     Metrics,
+    /// Other entries that follow what this one knows of the store.
+    Relay,
 }
 
 /// How far a stop has come, for open connections.
@@ -119,6 +121,12 @@
     match port {
         Port::Front => answer_caller(node, request).await,
         Port::Own => answer_own(node, &request),
+        Port::Relay => {
+            let (status, body) = node.relay.answer(node, request.uri().path()).await;
+            let mut response = Response::new(AnswerBody::whole(body));
+            *response.status_mut() = status;
+            response
+        }
         Port::Metrics => match node.metrics.export() {
             Ok(text) => Response::new(AnswerBody::whole(text)),
             Err(error) => {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -5,14 +5,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Name, RosterChange};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use crate::dialect::{Change, ObjectKind, StoredObject};
+use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
 use crate::link::Link;
 use crate::node::Node;
 use crate::peers::{self, PeerSocket};
+use crate::relay::{self, RelayError};
 use crate::store::StoreError;
 
 /// Longest time that a watch for changes with a short deadline waits. A watch that
@@ -22,6 +24,11 @@
 const WATCH_WAIT_MEDIUM: Duration = Duration::from_secs(3);
 /// Longest time that a watch for changes of the entries waits.
 const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
+/// Time after a new start or a return to service in which an endpoint may be cold
+/// whatever its record says.
+const COLD_DOUBT: Duration = Duration::from_secs(5);
+/// Time for which a relay that failed isn't followed.
+const RELAY_AVOIDED: Duration = Duration::from_secs(3);
 /// Pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause between failed calls.
@@ -48,67 +55,182 @@
     }
 }
 
+/// From where an entry follows a kind.
+enum Source {
+    Store,
+    Relay(Name, SocketAddr),
+}
+
+/// Where one kind is followed, and how far.
+struct Follower {
+    node: Rc<Node>,
+    socket: Rc<PeerSocket>,
+    kind: ObjectKind,
+    /// Revision up to which the kind is known; `None` before the first list.
+    revision: Option<u64>,
+    link: Option<Link>,
+    /// Relay of the connection.
+    relay: Option<Name>,
+    /// Relay that failed, and until when it isn't used.
+    avoid: Option<(Name, Time)>,
+}
+
 /// Follows one kind of objects for ever.
 pub(crate) async fn follow(node: Rc<Node>, socket: Rc<PeerSocket>, kind: ObjectKind) {
+    let mut follower = Follower {
+        node,
+        socket,
+        kind,
+        revision: None,
+        link: None,
+        relay: None,
+        avoid: None,
+    };
     let mut pause = RETRY_PAUSE;
-    let mut lost = false;
+    let mut failures = 0;
     loop {
-        let failed = match node.store.list(kind).await {
-            Ok((objects, revision)) => {
-                if lost {
-                    info!(node.log, "store is back"; "kind" => %kind, "revision" => revision);
+        let result = match follower.source() {
+            Source::Relay(name, address) => follower.follow_relay(name, address).await,
+            Source::Store => follower.follow_store().await,
+        };
+        let node = &follower.node;
+        match result {
+            Ok(()) => {
+                if failures > 1 {
+                    info!(node.log, "store is back"; "kind" => %kind, "revision" => follower.revision);
                 }
+                failures = 0;
                 pause = RETRY_PAUSE;
-                on_answer(&node, "list", true);
-                take_list(&node, &socket, kind, objects);
-                watch(&node, &socket, kind, revision).await
             }
             Err(error) => {
-                on_answer(&node, "list", false);
-                error
+                failures += 1;
+                on_answer(node, "follow", false);
+                // A waiting watch may be cut off; one more try tells whether the store is there.
+                if failures == 1 {
+                    continue;
+                }
+                if failures == 2 {
+                    warn!(node.log, "store lost"; "kind" => %kind, "cause" => %error);
+                }
+                node.state.borrow_mut().roster.on_store_lost();
+                follower.revision = None;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE_MOST);
             }
-        };
-        lost = !matches!(failed, StoreError::HistoryGone);
-        if lost {
-            warn!(node.log, "store lost"; "kind" => %kind, "cause" => %failed);
-            node.state.borrow_mut().roster.on_store_lost();
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(RETRY_PAUSE_MOST);
         }
     }
 }
 
-/// Watches from a revision until the watch can't go on.
-async fn watch(node: &Rc<Node>, socket: &PeerSocket, kind: ObjectKind, from: u64) -> StoreError {
-    let mut link: Option<Link> = None;
-    let mut revision = from;
-    let mut failures = 0;
-    loop {
-        match node
+impl Follower {
+    fn source(&mut self) -> Source {
+        let now = self.node.now();
+        if self.avoid.as_ref().is_some_and(|(_, until)| now >= *until) {
+            self.avoid = None;
+        }
+        // The entries' addresses come from the store itself, or no relay is ever found.
+        if self.kind == ObjectKind::Entries {
+            return Source::Store;
+        }
+        let avoid = self.avoid.as_ref().map(|(name, _)| name);
+        let chosen = relay::choose(&self.node, avoid);
+        let reached = chosen.and_then(|name| Some((self.socket.address_of(&name)?, name)));
+        let source = match reached {
+            Some((address, name)) => Source::Relay(name, address),
+            None => Source::Store,
+        };
+        let relay = match &source {
+            Source::Relay(name, _) => Some(name.clone()),
+            Source::Store => None,
+        };
+        if relay != self.relay {
+            self.link = None;
+            self.relay = relay;
+        }
+        source
+    }
+
+    /// Takes one answer of a relay. A failure only turns this entry to the store.
+    async fn follow_relay(&mut self, name: Name, address: SocketAddr) -> Result<(), StoreError> {
+        let fetched = relay::fetch(&mut self.link, address, self.kind, self.revision).await;
+        let node = &self.node;
+        match fetched {
+            Ok(changes) if changes.revision < self.revision.unwrap_or(0) => {
+                // It is behind what this entry has seen already.
+                self.avoid = Some((name, node.now() + RELAY_AVOIDED));
+            }
+            Ok(changes) => {
+                on_answer(node, "relay", true);
+                if self.revision.is_none() {
+                    let puts = changes.changes.into_iter();
+                    let objects: Vec<StoredObject> = puts
+                        .filter_map(|change| match change {
+                            Change::Put(object) => Some(object),
+                            Change::Removed(_) => None,
+                        })
+                        .collect();
+                    self.node
+                        .relay
+                        .reset(self.kind, &objects, changes.revision, None);
+                    take_list(&self.node, &self.socket, self.kind, objects);
+                    self.revision = Some(changes.revision);
+                } else {
+                    self.take(changes, None);
+                }
+            }
+            Err(RelayError::HistoryGone) => self.revision = None,
+            Err(error) => {
+                info!(node.log, "relay not followed"; "kind" => %self.kind, "peer" => &*name, "cause" => %error);
+                self.avoid = Some((name, node.now() + RELAY_AVOIDED));
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes one answer of the store.
+    async fn follow_store(&mut self) -> Result<(), StoreError> {
+        let node = &self.node;
+        let Some(revision) = self.revision else {
+            let (objects, revision) = node.store.list(self.kind).await?;
+            on_answer(node, "list", true);
+            node.relay
+                .reset(self.kind, &objects, revision, Some(node.now()));
+            take_list(node, &self.socket, self.kind, objects);
+            self.revision = Some(revision);
+            return Ok(());
+        };
+        let wait = watch_wait(self.kind);
+        let watched = node
             .store
-            .watch(&mut link, kind, revision, watch_wait(kind))
-            .await
-        {
+            .watch(&mut self.link, self.kind, revision, wait)
+            .await;
+        match watched {
             Ok(changes) => {
-                failures = 0;
                 on_answer(node, "watch", true);
-                revision = revision.max(changes.revision);
-                for change in changes.changes {
-                    take_change(node, socket, kind, change);
-                }
-                if kind == ObjectKind::Endpoints {
-                    node.planner_wake.notify_one();
-                    if !peers::may_plan(node) {
-                        tokio::time::sleep(COLLECT_PAUSE).await;
-                    }
+                let heard = Some(node.now());
+                self.take(changes, heard);
+                if self.kind == ObjectKind::Endpoints && !peers::may_plan(&self.node) {
+                    tokio::time::sleep(COLLECT_PAUSE).await;
                 }
+                Ok(())
             }
-            // A waiting watch may be cut off; one more try tells whether the store is there.
-            Err(StoreError::NoAnswer(_)) if failures == 0 => failures += 1,
-            Err(error) => {
-                on_answer(node, "watch", false);
-                return error;
+            Err(StoreError::HistoryGone) => {
+                self.revision = None;
+                Ok(())
             }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn take(&mut self, changes: Changes, heard: Option<Time>) {
+        let node = &self.node;
+        node.relay.extend(self.kind, &changes, heard);
+        self.revision = Some(self.revision.unwrap_or(0).max(changes.revision));
+        let any = !changes.changes.is_empty();
+        for change in changes.changes {
+            take_change(node, &self.socket, self.kind, change);
+        }
+        if any && self.kind == ObjectKind::Endpoints {
+            node.planner_wake.notify_one();
         }
     }
 }
@@ -169,7 +291,21 @@
 
 fn evacuate(node: &Node, name: &str, out: bool) {
     info!(node.log, "data centre's service changed"; "data_centre" => name, "out" => out);
-    node.state.borrow_mut().roster.evacuate(name.into(), out);
+    let mut state = node.state.borrow_mut();
+    state.roster.evacuate(name.into(), out);
+    if !out {
+        // Its endpoints may have turned cold meanwhile, and their records lag.
+        let until = node.now() + COLD_DOUBT;
+        let state = &mut *state;
+        for endpoint in state.roster.iter().filter(|e| *e.data_centre == *name) {
+            state
+                .cold
+                .entry(endpoint.id.clone())
+                .or_default()
+                .set_cold(until);
+        }
+    }
+    drop(state);
     node.planner_wake.notify_one();
 }
 
@@ -193,10 +329,18 @@
     let born = endpoint.born;
     let group = endpoint.membership.as_ref();
     let group = group.map(|m| format!("{}/{} {} {}", m.group, m.epoch, m.rank, m.state));
+    let cold = endpoint.cold;
     let change = node.state.borrow_mut().roster.put(endpoint);
     if change == RosterChange::Same {
         return;
     }
+    let new = matches!(change, RosterChange::Added | RosterChange::Reborn);
+    let cold = if new { cold.max(COLD_DOUBT) } else { cold };
+    if !cold.is_zero() {
+        let until = node.now() + cold;
+        let mut state = node.state.borrow_mut();
+        state.cold.entry(id.clone()).or_default().set_cold(until);
+    }
     info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => born, "revision" => object.revision, "group" => group);
     if change == RosterChange::Reborn {
         node.links.drop_endpoint(&id);
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -112,21 +112,34 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdAllowance {
     sent: SmallVec<[Time; 8]>,
+    until: Time,
 }
 
+/// Longest time between two requests that the allowance keeps apart.
+const ALLOWANCE_MEMORY: Duration = Duration::from_secs(10);
+
 impl ColdAllowance {
-    /// Returns whether another request may be sent within the last second.
+    /// Takes notice until when the endpoint is cold.
+    pub fn set_cold(&mut self, until: Time) {
+        self.until = self.until.max(until);
+    }
+
+    /// Returns whether another request may be sent. Where an entry's part is below
+    /// one request a second, its requests are kept further apart.
     #[must_use]
     pub fn has_room(&self, now: Time, per_s: f64, entries: usize) -> bool {
-        let second = Duration::from_secs(1);
-        let sent = self.sent.iter().filter(|t| now.since(**t) < second).count();
-        let part = (per_s / entries.max(1) as f64).max(1.0);
-        (sent as f64) < part.floor()
+        if now >= self.until {
+            return true;
+        }
+        let part = (per_s / entries.max(1) as f64).max(0.1);
+        let window = Duration::from_secs_f64(part.recip().max(1.0));
+        let sent = self.sent.iter().filter(|t| now.since(**t) < window).count();
+        (sent as f64) < part.max(1.0).floor()
     }
 
     /// Counts a request.
     pub fn on_sent(&mut self, now: Time) {
-        self.sent.retain(|t| now.since(*t) < Duration::from_secs(1));
+        self.sent.retain(|t| now.since(*t) < ALLOWANCE_MEMORY);
         self.sent.push(now);
     }
 }
