--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -166,9 +166,21 @@
 struct Sent {
     at: Time,
     epoch: u64,
+    /// State in the VM's record when the order was given.
+    state: Option<GroupState>,
     answer: Option<OrderAnswer>,
 }
 
+/// A VM's word that it has left a group, until its record follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Left {
+    born: u64,
+    epoch: u64,
+    /// State in the record at that time. A late order to join the same group shows
+    /// another one.
+    state: GroupState,
+}
+
 /// Views by the name of the VM.
 type Vms<'a> = BTreeMap<&'a str, VmView<'a>>;
 
@@ -180,8 +192,7 @@
     closing: HashMap<Name, Time>,
     loads: Vec<Time>,
     loading: HashMap<Name, Loading>,
-    /// Incarnation and epoch with which VMs answered that they have left.
-    left: HashMap<Name, (u64, u64)>,
+    left: HashMap<Name, Left>,
     /// The number of VMs, and since when it is that.
     seen: Option<(usize, Time)>,
 }
@@ -270,13 +281,17 @@
 
     /// Takes the answer of an incarnation to an order.
     pub fn on_answer(&mut self, order: &Order, born: u64, answer: OrderAnswer) {
-        if order.kind == OrderKind::Leave && answer == OrderAnswer::Done {
-            self.left
-                .insert(order.endpoint.clone(), (born, order.epoch));
-        }
         let key = (order.endpoint.clone(), order.kind.label());
         if let Some(sent) = self.sent.get_mut(&key) {
             sent.answer = Some(answer);
+            if order.kind == OrderKind::Leave
+                && answer == OrderAnswer::Done
+                && let Some(state) = sent.state
+            {
+                let epoch = order.epoch;
+                let left = Left { born, epoch, state };
+                self.left.insert(order.endpoint.clone(), left);
+            }
         }
         let refused = matches!(
             answer,
@@ -301,7 +316,8 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         self.closing.retain(|id, _| vms.contains_key(&**id));
-        self.left.retain(|id, _| vms.contains_key(&**id));
+        self.left
+            .retain(|id, _| vms.get(&**id).is_some_and(|v| v.membership().is_some()));
         self.sent.retain(|(id, _), _| vms.contains_key(&**id));
         for vm in vms.values().filter(|v| !v.is_lost()) {
             orders.extend(self.part_from_old_group(now, engine, plan, vms, vm));
@@ -417,7 +433,12 @@
 
     /// Returns whether a VM answered that it has left; its record may be older.
     fn has_left(&self, vm: &VmView<'_>, old: &Membership) -> bool {
-        self.left.get(&vm.endpoint.id) == Some(&(vm.endpoint.born, old.epoch))
+        let now = Left {
+            born: vm.endpoint.born,
+            epoch: old.epoch,
+            state: old.state,
+        };
+        self.left.get(&vm.endpoint.id) == Some(&now)
     }
 
     fn may_load(
@@ -495,6 +516,7 @@
         let sent = Sent {
             at: now,
             epoch,
+            state: endpoint.membership.as_ref().map(|m| m.state),
             answer: None,
         };
         self.sent.insert(key, sent);
