Move a stream only where another head can take it; keep relays of evacuations fresh

Change: silence ends only a run after which another is allowed and possible; watchers wait 1.5 s for evacuations too, and all relays that failed are avoided.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -293,8 +293,8 @@
 }
 
 /// Returns the entry that this one should follow, or `None` if it should watch the
-/// store itself. `avoid` is a relay that failed a moment ago.
-pub(crate) fn choose(node: &Node, avoid: Option<&Name>) -> Option<Name> {
+/// store itself. `avoid` names relays that failed a moment ago.
+pub(crate) fn choose(node: &Node, avoid: &[(Name, Time)]) -> Option<Name> {
     let now = node.now();
     let state = node.state.borrow();
     let own = &node.settings.node;
@@ -314,5 +314,7 @@
     }
     let start = load_key(own) as usize % entries.len();
     let mut turns = entries.iter().cycle().skip(start).take(entries.len());
-    turns.find(|name| Some(*name) != avoid).cloned()
+    turns
+        .find(|name| avoid.iter().all(|(a, _)| a != *name))
+        .cloned()
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -218,13 +218,33 @@
     Ok((id, waiter))
 }
 
-fn patience(call: &Call) -> Patience {
-    match call.route.resumable {
+/// Returns how long the next run is waited for: silence is no reason to give up the
+/// last run that is allowed.
+fn patience(call: &Call, progress: &Progress) -> Patience {
+    let last = progress.runs + 1 >= call.route.attempts;
+    match call.route.resumable && !last {
         true => Patience::UntilStalled,
         false => Patience::UntilEnd,
     }
 }
 
+/// Returns whether a head other than those that a stream has been at could take it.
+fn is_movable(node: &Node, call: &Call, avoid: &[Name]) -> bool {
+    let Some(model) = call.model.clone() else {
+        return false;
+    };
+    let key = (call.service.clone(), model);
+    let mut state = node.state.borrow_mut();
+    let placed = state.place(
+        node.now(),
+        &node.settings.data_centre,
+        &key,
+        call.work,
+        avoid,
+    );
+    matches!(placed, Placement::Head(..))
+}
+
 /// Sends the call to a head and reads up to the first whole event.
 async fn once(
     node: &Rc<Node>,
@@ -233,14 +253,15 @@
     endpoint: Endpoint,
 ) -> Result<Start, Failed> {
     progress.splitter.drop_torn();
+    let patience = patience(call, progress);
     let mut flight = Flight::start(node, endpoint, call.work.prompt);
     let endpoint = &flight.endpoint;
     let last = progress.splitter.last_id();
-    let opened = attempt::send(node, call, endpoint, call.end, patience(call), last).await?;
+    let opened = attempt::send(node, call, endpoint, call.end, patience, last).await?;
     let (parts, mut body) = opened.answer.into_parts();
     let link = opened.link;
     if !parts.status.is_success() {
-        let read = watched(node, endpoint, call.end, patience(call), body.collect()).await;
+        let read = watched(node, endpoint, call.end, patience, body.collect()).await;
         let Ok(Ok(body)) = read else {
             return Err(Failed::MayHaveRun(RetryCause::Broken));
         };
@@ -250,8 +271,7 @@
         }
         return Ok(Start::Whole(parts, body.to_bytes(), endpoint.id.clone()));
     }
-    let splitter = &mut progress.splitter;
-    match next_events(node, call, &flight, &mut body, splitter).await {
+    match next_events(node, call, &flight, &mut body, progress).await {
         Ok(Some(events)) => {
             flight.on_first_event();
             let running = Box::new(Running { flight, link, body });
@@ -298,15 +318,24 @@
     call: &Call,
     flight: &Flight,
     body: &mut Incoming,
-    splitter: &mut EventSplitter,
+    progress: &mut Progress,
 ) -> Result<Option<Events>, Failed> {
     let endpoint = &flight.endpoint;
+    let patience = patience(call, progress);
     loop {
-        let frame = watched(node, endpoint, call.end, patience(call), body.frame()).await;
-        let frame = frame.map_err(|halt| match halt {
-            Halt::Silent => Failed::MayHaveRun(RetryCause::Silent),
-            Halt::TimedOut => Failed::TimedOut,
-        })?;
+        let frame = watched(node, endpoint, call.end, patience, body.frame()).await;
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(Halt::TimedOut) => return Err(Failed::TimedOut),
+            Err(Halt::Silent) if is_movable(node, call, &progress.avoid) => {
+                return Err(Failed::MayHaveRun(RetryCause::Silent));
+            }
+            Err(Halt::Silent) => {
+                node.suspect(&endpoint.id, endpoint.born, "stream stalled, no other head");
+                continue;
+            }
+        };
+        let splitter = &mut progress.splitter;
         let frame = match frame {
             None if splitter.is_torn() => return Err(Failed::MayHaveRun(RetryCause::Broken)),
             None => return Ok(None),
@@ -344,7 +373,7 @@
             call,
             &running.flight,
             &mut running.body,
-            &mut progress.splitter,
+            &mut progress,
         );
         let read = tokio::select! {
             () = pieces.closed() => break "caller left",
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -20,8 +20,6 @@
 /// Longest time that a watch for changes with a short deadline waits. A watch that
 /// was dropped without a word is noticed only after it.
 const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
-/// Longest time that a watch for evacuations waits.
-const WATCH_WAIT_MEDIUM: Duration = Duration::from_secs(3);
 /// Longest time that a watch for changes of the entries waits.
 const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
 /// Time after a new start or a return to service in which an endpoint may be cold
@@ -49,8 +47,9 @@
 
 const fn watch_wait(kind: ObjectKind) -> Duration {
     match kind {
-        ObjectKind::Configuration | ObjectKind::Endpoints => WATCH_WAIT_SHORT,
-        ObjectKind::Evacuations => WATCH_WAIT_MEDIUM,
+        ObjectKind::Configuration | ObjectKind::Endpoints | ObjectKind::Evacuations => {
+            WATCH_WAIT_SHORT
+        }
         ObjectKind::Entries | ObjectKind::Plans => WATCH_WAIT_LONG,
     }
 }
@@ -71,8 +70,8 @@
     link: Option<Link>,
     /// Relay of the connection.
     relay: Option<Name>,
-    /// Relay that failed, and until when it isn't used.
-    avoid: Option<(Name, Time)>,
+    /// Relays that failed, and until when they aren't used.
+    avoid: Vec<(Name, Time)>,
 }
 
 /// Follows one kind of objects for ever.
@@ -84,7 +83,7 @@
         revision: None,
         link: None,
         relay: None,
-        avoid: None,
+        avoid: Vec::new(),
     };
     let mut pause = RETRY_PAUSE;
     let mut failures = 0;
@@ -124,15 +123,12 @@
 impl Follower {
     fn source(&mut self) -> Source {
         let now = self.node.now();
-        if self.avoid.as_ref().is_some_and(|(_, until)| now >= *until) {
-            self.avoid = None;
-        }
+        self.avoid.retain(|(_, until)| now < *until);
         // The entries' addresses come from the store itself, or no relay is ever found.
         if self.kind == ObjectKind::Entries {
             return Source::Store;
         }
-        let avoid = self.avoid.as_ref().map(|(name, _)| name);
-        let chosen = relay::choose(&self.node, avoid);
+        let chosen = relay::choose(&self.node, &self.avoid);
         let reached = chosen.and_then(|name| Some((self.socket.address_of(&name)?, name)));
         let source = match reached {
             Some((address, name)) => Source::Relay(name, address),
@@ -156,7 +152,7 @@
         match fetched {
             Ok(changes) if changes.revision < self.revision.unwrap_or(0) => {
                 // It is behind what this entry has seen already.
-                self.avoid = Some((name, node.now() + RELAY_AVOIDED));
+                self.avoid.push((name, node.now() + RELAY_AVOIDED));
             }
             Ok(changes) => {
                 on_answer(node, "relay", true);
@@ -180,7 +176,7 @@
             Err(RelayError::HistoryGone) => self.revision = None,
             Err(error) => {
                 info!(node.log, "relay not followed"; "kind" => %self.kind, "peer" => &*name, "cause" => %error);
-                self.avoid = Some((name, node.now() + RELAY_AVOIDED));
+                self.avoid.push((name, node.now() + RELAY_AVOIDED));
             }
         }
         Ok(())
