Read large objects from the store, compare fewer heads with many entries, spares by domain

A quarter of 171 VMs stood by for ten losses. Change: relays name objects above 8 KiB, which each follower reads from the store; the heads that an entry compares fall with the number of entries, from 12 to 2; each domain keeps a spare for each model, a quarter of all VMs at most.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -107,6 +107,16 @@
     Removed(String),
 }
 
+impl Change {
+    /// Returns the object, unless it was removed.
+    pub(crate) fn into_put(self) -> Option<StoredObject> {
+        match self {
+            Self::Put(object) => Some(object),
+            Self::Removed(_) => None,
+        }
+    }
+}
+
 /// What a watch returned.
 #[derive(Clone, Debug)]
 pub struct Changes {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -381,7 +381,10 @@
                 Vitality::Silent | Vitality::Dead => {}
             }
         }
-        let settings = PlaceSettings::default();
+        let settings = PlaceSettings {
+            entries: self.peers.entries(now),
+            ..PlaceSettings::default()
+        };
         let chosen = if candidates.is_empty() {
             &doubtful[..]
         } else {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -36,6 +36,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes of an answer at most.
 const ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
+/// Bytes of an object up to which it is passed on as a whole.
+const BODY_BYTES: usize = 8 * 1_024;
 /// Entries that watch the store in a small deployment.
 const WATCHERS_LEAST: usize = 2;
 /// Entries that follow one watcher at most.
@@ -50,6 +52,12 @@
         revision: u64,
         body: String,
     },
+    /// The object has changed and is too large to be passed on to every follower
+    /// over one entry's link.
+    Changed {
+        name: String,
+        revision: u64,
+    },
     Removed(String),
 }
 
@@ -64,6 +72,10 @@
 impl From<&Change> for RelayedChange {
     fn from(change: &Change) -> Self {
         match change {
+            Change::Put(object) if object.body.len() > BODY_BYTES => Self::Changed {
+                name: object.name.clone(),
+                revision: object.revision,
+            },
             Change::Put(object) => Self::Put {
                 name: object.name.clone(),
                 revision: object.revision,
@@ -74,23 +86,40 @@
     }
 }
 
-impl From<RelayedChange> for Change {
+/// What a follower learns.
+pub(crate) enum News {
+    /// A change.
+    Change(Change),
+    /// The object of this name must be read from the store; it has this revision.
+    Read(String, u64),
+}
+
+impl From<RelayedChange> for News {
     fn from(change: RelayedChange) -> Self {
         match change {
             RelayedChange::Put {
                 name,
                 revision,
                 body,
-            } => Self::Put(StoredObject {
+            } => Self::Change(Change::Put(StoredObject {
                 name,
                 revision,
                 body: Bytes::from(body),
-            }),
-            RelayedChange::Removed(name) => Self::Removed(name),
+            })),
+            RelayedChange::Changed { name, revision } => Self::Read(name, revision),
+            RelayedChange::Removed(name) => Self::Change(Change::Removed(name)),
         }
     }
 }
 
+/// What a relay answered.
+pub(crate) struct Relayed {
+    /// Revision up to which it holds.
+    pub(crate) revision: u64,
+    /// What is new.
+    pub(crate) news: Vec<News>,
+}
+
 /// What this entry knows of one kind.
 #[derive(Default)]
 struct Kept {
@@ -265,7 +294,7 @@
     address: SocketAddr,
     kind: ObjectKind,
     after: Option<u64>,
-) -> Result<Changes, RelayError> {
+) -> Result<Relayed, RelayError> {
     let mut open = match link.take().filter(Link::is_usable) {
         Some(open) => open,
         None => Link::open(address, CONNECT_TIMEOUT, Time::ZERO)
@@ -286,9 +315,9 @@
         other => return Err(RelayError::Refused(other)),
     }
     let answer: RelayedChanges = serde_json::from_slice(&body).map_err(RelayError::Unreadable)?;
-    Ok(Changes {
-        changes: answer.changes.into_iter().map(Change::from).collect(),
+    Ok(Relayed {
         revision: answer.revision,
+        news: answer.changes.into_iter().map(News::from).collect(),
     })
 }
 
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -8,13 +8,13 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Name, RosterChange};
 use serde::{Deserialize, Serialize};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
 use crate::link::Link;
 use crate::node::Node;
 use crate::peers::{self, PeerSocket};
-use crate::relay::{self, RelayError};
+use crate::relay::{self, News, RelayError, Relayed};
 use crate::store::StoreError;
 
 /// Longest time that a watch for changes with a short deadline waits. A watch that
@@ -150,27 +150,22 @@
         let fetched = relay::fetch(&mut self.link, address, self.kind, self.revision).await;
         let node = &self.node;
         match fetched {
-            Ok(changes) if changes.revision < self.revision.unwrap_or(0) => {
+            Ok(relayed) if relayed.revision < self.revision.unwrap_or(0) => {
                 // It is behind what this entry has seen already.
                 self.avoid.push((name, node.now() + RELAY_AVOIDED));
             }
-            Ok(changes) => {
+            Ok(relayed) => {
                 on_answer(node, "relay", true);
+                let revision = relayed.revision;
+                let changes = self.complete(relayed).await?;
                 if self.revision.is_none() {
-                    let puts = changes.changes.into_iter();
-                    let objects: Vec<StoredObject> = puts
-                        .filter_map(|change| match change {
-                            Change::Put(object) => Some(object),
-                            Change::Removed(_) => None,
-                        })
-                        .collect();
-                    self.node
-                        .relay
-                        .reset(self.kind, &objects, changes.revision, None);
+                    let objects = changes.into_iter().filter_map(Change::into_put);
+                    let objects: Vec<StoredObject> = objects.collect();
+                    self.node.relay.reset(self.kind, &objects, revision, None);
                     take_list(&self.node, &self.socket, self.kind, objects);
-                    self.revision = Some(changes.revision);
+                    self.revision = Some(revision);
                 } else {
-                    self.take(changes, None);
+                    self.take(Changes { changes, revision }, None);
                 }
             }
             Err(RelayError::HistoryGone) => self.revision = None,
@@ -182,6 +177,22 @@
         Ok(())
     }
 
+    /// Reads the objects from the store that a relay doesn't pass on as a whole.
+    async fn complete(&self, relayed: Relayed) -> Result<Vec<Change>, StoreError> {
+        let mut changes = Vec::with_capacity(relayed.news.len());
+        for news in relayed.news {
+            match news {
+                News::Change(change) => changes.push(change),
+                News::Read(name, revision) => {
+                    debug!(self.node.log, "object read"; "kind" => %self.kind, "name" => &name, "revision" => revision);
+                    let object = self.node.store.read(self.kind, &name).await?;
+                    changes.push(Change::Put(object));
+                }
+            }
+        }
+        Ok(changes)
+    }
+
     /// Takes one answer of the store.
     async fn follow_store(&mut self) -> Result<(), StoreError> {
         let node = &self.node;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -17,8 +17,11 @@
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSettings {
-    /// Heads that are compared at most.
+    /// Heads that all entries together compare at most for one request each: the
+    /// more entries share one delayed view, the fewer heads each of them compares.
     pub most: usize,
+    /// Entries that share the view.
+    pub entries: usize,
     /// Part by which an expected time is varied at random, up or down.
     pub blur: f64,
     /// Output tokens whose time counts beside the first token's.
@@ -30,7 +33,8 @@
 impl Default for PlaceSettings {
     fn default() -> Self {
         Self {
-            most: 12,
+            most: 84,
+            entries: 7,
             blur: 0.12,
             tokens: 20,
             distance: Duration::from_millis(12),
@@ -38,6 +42,12 @@
     }
 }
 
+/// Heads that are compared in any case: two random ones spread load far better than
+/// one.
+const LEAST_COMPARED: usize = 2;
+/// Heads that one entry compares at most.
+const MOST_COMPARED: usize = 12;
+
 /// A head that could take a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -79,7 +89,8 @@
     let slots = f64::from(engine.slots);
     let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
     let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
-    let looked_at = settings.most.min(open.len());
+    let compared = (settings.most / settings.entries.max(1)).clamp(LEAST_COMPARED, MOST_COMPARED);
+    let looked_at = compared.min(open.len());
     for i in 0..looked_at {
         let other = rng.random_range(i..open.len());
         open.swap(i, other);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -32,8 +32,8 @@
 /// How groups are formed and repaired.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupSettings {
-    /// Part of the VMs that is kept as spares.
-    pub spare_part: f64,
+    /// Spares that each domain keeps for each model.
+    pub spares: usize,
     /// Time after which an unanswered order is given again.
     pub resend: Duration,
     /// Time that an accepted order has to show in a report.
@@ -45,7 +45,7 @@
 impl Default for GroupSettings {
     fn default() -> Self {
         Self {
-            spare_part: 0.25,
+            spares: 1,
             resend: Duration::from_millis(700),
             settle: Duration::from_millis(1_500),
             closing: Duration::from_millis(1_000),
--- a/crates/fleet/src/planner/forming.rs
+++ b/crates/fleet/src/planner/forming.rs
@@ -1,6 +1,6 @@
 //! Which VMs form which groups.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{GroupSettings, STANDBY_MARK, VmView, Vms, Weights};
 use crate::catalog::{Engine, Model};
@@ -34,11 +34,15 @@
 /// Sets the number of groups of each model from its share of the work. The number
 /// only grows: the loss of VMs makes no group superfluous.
 fn set_wanted(settings: GroupSettings, engine: &Engine, vms: &Vms<'_>, plan: &mut Plan) {
-    let usable = vms.values().filter(|v| !v.is_lost()).count() as f64;
+    let usable = vms.values().filter(|v| !v.is_lost()).count();
+    let domains: BTreeSet<&str> = vms.values().map(|v| &*v.endpoint.domain).collect();
+    let spares = domains.len() * engine.models.len() * settings.spares;
+    // Small domains can't afford a spare for each model.
+    let spares = spares.min(usable / 4);
     let total: f64 = engine.models.iter().map(|m| m.share).sum();
     for model in &engine.models {
         let part = model.share / if total > 0.0 { total } else { 1.0 };
-        let serving = usable * (1.0 - settings.spare_part) * part;
+        let serving = (usable - spares) as f64 * part;
         let groups = (serving / model.size.max(1) as f64).round().max(1.0) as usize;
         let wanted = plan.wanted.entry(model.name.to_string()).or_default();
         *wanted = (*wanted).max(groups);
--- a/crates/fleet/tests/groups_world.rs
+++ b/crates/fleet/tests/groups_world.rs
@@ -246,7 +246,7 @@
             }
         }
         entry.roster.settle(now);
-        if self.now % 500 == 0 {
+        if self.now.is_multiple_of(500) {
             for vm in self.vms.values() {
                 let (id, born) = (&vm.record.id, vm.record.born);
                 let Some(known) = entry.seen.get(id) else {
