--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -7,6 +7,7 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Name, RosterChange};
+use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 
@@ -298,18 +299,15 @@
 
 fn evacuate(node: &Node, name: &str, out: bool) {
     info!(node.log, "data centre's service changed"; "data_centre" => name, "out" => out);
+    let now = node.now();
     let mut state = node.state.borrow_mut();
     state.roster.evacuate(name.into(), out);
     if !out {
         // Its endpoints may have turned cold meanwhile, and their records lag.
-        let until = node.now() + COLD_DOUBT;
         let state = &mut *state;
         for endpoint in state.roster.iter().filter(|e| *e.data_centre == *name) {
-            state
-                .cold
-                .entry(endpoint.id.clone())
-                .or_default()
-                .set_cold(until);
+            let allowance = state.cold.entry(endpoint.id.clone()).or_default();
+            allowance.set_cold(now, now + COLD_DOUBT, state.rng.random());
         }
     }
     drop(state);
@@ -344,9 +342,11 @@
     let new = matches!(change, RosterChange::Added | RosterChange::Reborn);
     let cold = if new { cold.max(COLD_DOUBT) } else { cold };
     if !cold.is_zero() {
-        let until = node.now() + cold;
+        let now = node.now();
         let mut state = node.state.borrow_mut();
-        state.cold.entry(id.clone()).or_default().set_cold(until);
+        let phase = state.rng.random();
+        let allowance = state.cold.entry(id.clone()).or_default();
+        allowance.set_cold(now, now + cold, phase);
     }
     info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => born, "revision" => object.revision, "group" => group);
     if change == RosterChange::Reborn {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -124,14 +124,23 @@
 pub struct ColdAllowance {
     sent: SmallVec<[Time; 8]>,
     until: Time,
+    /// When the endpoint was first known to be cold.
+    since: Time,
+    /// Part of the time between two requests before the first one.
+    phase: f64,
 }
 
 /// Longest time between two requests that the allowance keeps apart.
 const ALLOWANCE_MEMORY: Duration = Duration::from_secs(10);
 
 impl ColdAllowance {
-    /// Takes notice until when the endpoint is cold.
-    pub fn set_cold(&mut self, until: Time) {
+    /// Takes notice until when the endpoint is cold. `phase`, between 0 and 1, keeps
+    /// many entries from sending their first request at the same moment.
+    pub fn set_cold(&mut self, now: Time, until: Time, phase: f64) {
+        if now >= self.until {
+            self.since = now;
+            self.phase = phase;
+        }
         self.until = self.until.max(until);
     }
 
@@ -144,6 +153,9 @@
         }
         let part = (per_s / entries.max(1) as f64).max(0.1);
         let window = Duration::from_secs_f64(part.recip().max(1.0));
+        if part < 1.0 && now < self.since + window.mul_f64(self.phase) {
+            return false;
+        }
         let sent = self.sent.iter().filter(|t| now.since(**t) < window).count();
         (sent as f64) < part.max(1.0).floor()
     }
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bulrushhoist_fleet::{
-    Batch, Candidate, PlaceSettings, Placement, PlainChoice, PlainLoad, Turn, WaitingLine,
-    WaitingSettings, Work, choose_head, choose_plain, longest_pass,
+    Batch, Candidate, ColdAllowance, PlaceSettings, Placement, PlainChoice, PlainLoad, Turn,
+    WaitingLine, WaitingSettings, Work, choose_head, choose_plain, longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -99,6 +99,41 @@
     }
 }
 
+/// Requests that entries send to an endpoint that turned cold, in its busiest second,
+/// if each of them always has more to send.
+fn cold_peak(entries: usize, per_s: f64) -> usize {
+    let mut sent = Vec::new();
+    for entry in 0..entries {
+        let mut allowance = ColdAllowance::default();
+        let phase = entry as f64 / entries as f64;
+        allowance.set_cold(ms(0), ms(5_000), phase);
+        for at in 0..5_000 {
+            if allowance.has_room(ms(at), per_s, entries) {
+                allowance.on_sent(ms(at));
+                sent.push(at);
+            }
+        }
+    }
+    let second = |start: u64| {
+        sent.iter()
+            .filter(|t| (start..start + 1_000).contains(*t))
+            .count()
+    };
+    (0..4_000).step_by(50).map(second).max().unwrap_or(0)
+}
+
+#[test]
+fn many_entries_together_spare_a_cold_endpoint() {
+    // The bound is 1.5 times the rate and 5 more.
+    for entries in [1, 7, 30, 65, 100] {
+        let peak = cold_peak(entries, 17.0);
+        assert!(
+            peak as f64 <= 17.0 * 1.5 + 5.0,
+            "{peak} by {entries} entries"
+        );
+    }
+}
+
 #[test]
 fn work_that_can_still_be_on_time_goes_before_work_that_is_late() {
     let mut line = WaitingLine::new(WaitingSettings::default());
