--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -42,10 +42,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnCall {
     /// A caller asks which addresses to use.
-    Directory {
-        /// Data centre of the caller.
-        data_centre: String,
-    },
+    Directory,
     /// The platform asks whether this entry takes callers.
     Ready,
 }
@@ -153,8 +150,8 @@
 pub trait Dialect {
     /// Returns the names of the headers.
     fn headers(&self) -> &HeaderNames;
-    /// Returns the call to the system itself that a path and query make.
-    fn own_call(&self, path: &str, query: Option<&str>) -> Option<OwnCall>;
+    /// Returns the call to the system itself that a path makes.
+    fn own_call(&self, path: &str) -> Option<OwnCall>;
     /// Encodes the answer to a caller that asks for addresses.
     fn directory_answer(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
     /// Returns the key of a caller from the value of its authorization header.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -15,7 +15,7 @@
 
 /// Returns the answer to a caller that asks for addresses; `None` if no entry is
 /// known to take callers.
-pub(crate) fn answer(node: &Node, _data_centre: &str) -> Option<Bytes> {
+pub(crate) fn answer(node: &Node) -> Option<Bytes> {
     let now = node.now();
     let state = node.state.borrow();
     let peers = state.peers.live(now).filter(|p| p.news.ready);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -144,11 +144,10 @@
 }
 
 fn answer_own(node: &Node, request: &Request<Incoming>) -> Response<AnswerBody> {
-    let uri = request.uri();
-    match node.dialect.own_call(uri.path(), uri.query()) {
+    match node.dialect.own_call(request.uri().path()) {
         Some(OwnCall::Ready) if node.is_ready() => plain_status(StatusCode::OK),
         Some(OwnCall::Ready) => plain_status(StatusCode::SERVICE_UNAVAILABLE),
-        Some(OwnCall::Directory { data_centre }) => match directory::answer(node, &data_centre) {
+        Some(OwnCall::Directory) => match directory::answer(node) {
             Some(body) => {
                 let mut response = Response::new(AnswerBody::whole(body));
                 let json = HeaderValue::from_static("application/json");
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -14,8 +14,9 @@
 //! weights takes the place of a lost one. See `docs/SYSTEM.md`.
 
 mod forming;
+mod view;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
@@ -23,11 +24,12 @@
 
 use crate::Name;
 use crate::catalog::{Engine, Model, Service};
-use crate::endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
-use crate::monitor::{Monitor, Vitality};
+use crate::endpoint::{Endpoint, GroupState, Membership};
 use crate::orders::{Order, OrderAnswer, OrderKind};
 use crate::plan::{GroupPlan, Plan};
-use crate::roster::Roster;
+
+pub(crate) use view::Vms;
+pub use view::{VmView, survey};
 
 /// How groups are formed and repaired.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,85 +74,6 @@
     Any,
 }
 
-/// A VM as the planner sees it.
-#[derive(Clone, Copy, Debug)]
-pub struct VmView<'a> {
-    /// Its record.
-    pub endpoint: &'a Endpoint,
-    /// Whether it answers.
-    pub vitality: Vitality,
-    /// Whether its data centre is out of service.
-    pub evacuated: bool,
-}
-
-impl VmView<'_> {
-    fn is_lost(&self) -> bool {
-        matches!(self.vitality, Vitality::Dead | Vitality::Silent)
-    }
-
-    fn is_usable(&self) -> bool {
-        !self.is_lost() && !self.evacuated && self.endpoint.phase == EndpointPhase::Ready
-    }
-
-    fn membership(&self) -> Option<&Membership> {
-        self.endpoint.membership.as_ref()
-    }
-
-    fn is_in(&self, group: &GroupPlan) -> bool {
-        self.membership()
-            .is_some_and(|m| *m.group == *group.name && m.epoch == group.epoch)
-    }
-
-    /// Returns how far the VM is from having a model loaded; 0 is nearest.
-    fn distance_to(&self, model: &str) -> u8 {
-        if self.endpoint.model.as_deref() == Some(model) {
-            0
-        } else if self.has_staged(model) {
-            1
-        } else if self.endpoint.staged.is_empty() {
-            2
-        } else {
-            3
-        }
-    }
-
-    fn has_staged(&self, model: &str) -> bool {
-        self.endpoint.staged.iter().any(|m| &**m == model)
-    }
-}
-
-/// Part of the VMs that are silent at once from which on an entry takes itself for
-/// cut off and none of them for lost.
-const CUT_OFF_PART: f64 = 0.4;
-
-/// Returns how the planner sees the VMs of a service.
-#[must_use]
-pub fn survey<'a>(
-    now: Time,
-    service: &str,
-    roster: &'a Roster,
-    monitor: &Monitor,
-) -> Vec<VmView<'a>> {
-    let own = roster.iter().filter(|e| *e.service == *service);
-    let mut views: Vec<VmView<'_>> = own
-        .map(|endpoint| VmView {
-            endpoint,
-            vitality: monitor.vitality(now, &endpoint.id, endpoint.born),
-            evacuated: roster.is_evacuated(&endpoint.data_centre),
-        })
-        .collect();
-    let silent = views
-        .iter()
-        .filter(|v| v.vitality == Vitality::Silent)
-        .count();
-    if silent as f64 > views.len() as f64 * CUT_OFF_PART {
-        for view in views.iter_mut().filter(|v| v.vitality == Vitality::Silent) {
-            view.vitality = Vitality::Suspect;
-        }
-    }
-    views
-}
-
 /// What is to be done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -181,9 +104,6 @@
     state: GroupState,
 }
 
-/// Views by the name of the VM.
-type Vms<'a> = BTreeMap<&'a str, VmView<'a>>;
-
 /// Forms and repairs the groups of every service with engines.
 #[derive(Debug)]
 pub struct Planner {
