Leave a stream at its silent head where the retry budget allows no move

Ruled out: the head's own break; the runs were ended by the entry. Change: the budget is asked before a stream is moved, and a moved stream doesn't wait behind new ones. Test: asking_for_a_retry_takes_none.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -450,6 +450,12 @@
         self.budget(service, settings).take_retry(now, entries)
     }
 
+    /// Returns whether a retry to a service is left in the budget.
+    pub(crate) fn has_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
+        let entries = self.peers.entries(now);
+        self.budget(service, settings).has_retry(now, entries)
+    }
+
     /// Returns this entry's part of the retry budget of a service.
     pub(crate) fn budget(&mut self, service: &Name, settings: &Settings) -> &mut SharedBudget {
         let fresh = || SharedBudget::new(settings.bounds.retries);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -87,7 +87,7 @@
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let resumed = progress.runs + progress.refusals > 0;
-        let endpoint = match place(node, call, &progress.avoid).await {
+        let endpoint = match place(node, call, &progress.avoid, resumed).await {
             Ok(endpoint) => endpoint,
             Err(reason) => return Err(if resumed { refusal } else { reason }),
         };
@@ -149,11 +149,17 @@
 }
 
 /// Returns a head for the call, after a wait in line if all are full.
-async fn place(node: &Rc<Node>, call: &Call, avoid: &[Name]) -> Result<Endpoint, Refusal> {
+/// A stream that goes on doesn't wait behind new ones.
+async fn place(
+    node: &Rc<Node>,
+    call: &Call,
+    avoid: &[Name],
+    resumed: bool,
+) -> Result<Endpoint, Refusal> {
     let model = call.model.clone().ok_or(Refusal::BadRequest)?;
     let key = (call.service.clone(), model);
     let since = node.now();
-    let mut woken = false;
+    let mut woken = resumed;
     loop {
         let now = node.now();
         if now >= call.end {
@@ -228,20 +234,19 @@
     }
 }
 
-/// Returns whether a head other than those that a stream has been at could take it.
+/// Returns whether a head other than those that a stream has been at could take it,
+/// and the budget allows it: a silent head is better than none.
 fn is_movable(node: &Node, call: &Call, avoid: &[Name]) -> bool {
     let Some(model) = call.model.clone() else {
         return false;
     };
     let key = (call.service.clone(), model);
+    let now = node.now();
     let mut state = node.state.borrow_mut();
-    let placed = state.place(
-        node.now(),
-        &node.settings.data_centre,
-        &key,
-        call.work,
-        avoid,
-    );
+    if !state.has_retry(now, &call.service, &node.settings) {
+        return false;
+    }
+    let placed = state.place(now, &node.settings.data_centre, &key, call.work, avoid);
     matches!(placed, Placement::Head(..))
 }
 
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -53,14 +53,19 @@
     /// Takes one retry out of the budget, or returns `false` if none is left.
     /// `entries` is the number of entries that may be alive.
     pub fn take_retry(&mut self, now: Time, entries: usize) -> bool {
+        let left = self.has_retry(now, entries);
+        if left {
+            self.retries.push_back(now);
+        }
+        left
+    }
+
+    /// Returns whether a retry is left.
+    pub fn has_retry(&mut self, now: Time, entries: usize) -> bool {
         self.forget(now);
         let own = self.settings.ratio * self.requests.len() as f64;
         let part = self.settings.allowance / entries.max(1) as f64;
-        if (self.retries.len() + 1) as f64 > (own + part) * USED_PART {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        (self.retries.len() + 1) as f64 <= (own + part) * USED_PART
     }
 
     fn forget(&mut self, now: Time) {
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -106,6 +106,20 @@
     assert!(taken > 400, "the budget is there to be used: {taken}");
 }
 
+#[test]
+fn asking_for_a_retry_takes_none() {
+    let settings = BudgetSettings {
+        ratio: 0.0,
+        allowance: 2.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = SharedBudget::new(settings);
+    assert!(budget.has_retry(ms(0), 1) && budget.has_retry(ms(0), 1));
+    assert!(budget.take_retry(ms(0), 1));
+    assert!(!budget.has_retry(ms(1), 1) && !budget.take_retry(ms(1), 1));
+    assert!(budget.has_retry(ms(20_000), 1));
+}
+
 #[test]
 fn probes_show_what_is_silent_and_what_has_ended() {
     let mut monitor = Monitor::new(MonitorSettings::default());
