Follow the entries' addresses through relays, watch from the largest VMs, list with a lag at the start

Cause: with 65 entries every entry watched the records of all entries, so that each restart woke 65 watches; each entry read a configuration over 8 KB by itself; a fresh fleet watched the store before it heard its peers; after the store forgot its history each follower watched it for 3 s because a relay had refused once. Change: addresses are relayed after the first list, records don't change with a restart, relays pass objects up to 64 KB on, the VMs with the most processor time watch and plan, first lists may lag, a refusing relay is asked again after 0.6 s.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -73,6 +73,15 @@
     ];
 }
 
+/// How old a list may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListAge {
+    /// It holds all that was acknowledged before the call.
+    Latest,
+    /// It may lag by seconds, and is cheaper: a watch from its revision brings the rest.
+    Lagging,
+}
+
 /// An object as the store returns it.
 #[derive(Clone, Debug)]
 pub struct StoredObject {
@@ -171,7 +180,7 @@
     fn order(&self, order: &Order, fence: Option<u64>) -> (&'static str, Bytes);
 
     /// Returns the path of a list that continues after a name.
-    fn list_path(&self, kind: ObjectKind, after: Option<&str>) -> String;
+    fn list_path(&self, kind: ObjectKind, after: Option<&str>, age: ListAge) -> String;
     /// Returns the path of a watch.
     fn watch_path(&self, kind: ObjectKind, revision: u64, wait: Duration) -> String;
     /// Returns the path under which objects of a kind are created, and the path of one.
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -92,7 +92,7 @@
             continue;
         }
         let since = *first_chance.get_or_insert(now);
-        if now.since(since) < TAKEOVER_DELAY {
+        if now.since(since) < peers::hearing_time(&node).max(TAKEOVER_DELAY) {
             continue;
         }
         if !std::mem::replace(&mut node.state.borrow_mut().planning, true) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,8 +31,8 @@
 mod sync;
 
 pub use dialect::{
-    Change, Changes, DecodeError, Dialect, HeaderNames, LoadFigures, ObjectKind, OwnCall, Page,
-    StoredObject,
+    Change, Changes, DecodeError, Dialect, HeaderNames, ListAge, LoadFigures, ObjectKind, OwnCall,
+    Page, StoredObject,
 };
 pub use logging::logger;
 pub use run::{StartError, run};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -76,6 +76,8 @@
     strikes: Vec<StrikeMessage>,
     #[prost(bool, tag = "10")]
     planning: bool,
+    #[prost(uint32, tag = "11")]
+    cpu_milli: u32,
 }
 
 impl NewsMessage {
@@ -85,6 +87,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             front: self.front.parse().ok()?,
+            cpu_milli: self.cpu_milli,
             ready: self.ready,
             in_touch: self.in_touch,
             planning: self.planning,
@@ -163,8 +166,10 @@
         }
     }
 
-    fn peer_count(&self) -> u32 {
-        u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX)
+    /// Returns the time between two messages to every peer.
+    fn interval(&self) -> Duration {
+        let peers = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
+        INTERVAL.max(INTERVAL_PER_PEER * peers)
     }
 }
 
@@ -187,6 +192,7 @@
         sequence,
         front: node.settings.listen.front.to_string(),
         ready,
+        cpu_milli: node.settings.cpu_milli,
         in_touch: state.in_touch(now, STORE_TOUCH),
         planning: state.planning,
         loads: loads
@@ -212,10 +218,20 @@
     let state = node.state.borrow();
     let serving = state.phase == Phase::Serving;
     let in_touch = state.in_touch(now, STORE_TOUCH);
-    serving
-        && state
-            .peers
-            .may_plan(now, &node.settings.node, in_touch, state.planning)
+    let own = (&*node.settings.node, node.settings.cpu_milli);
+    serving && state.peers.may_plan(now, own, in_touch, state.planning)
+}
+
+/// Returns the time in which every live peer makes itself heard.
+pub(crate) fn hearing_time(node: &Node) -> Duration {
+    node.state.borrow().peers.silence() / SILENT_INTERVALS
+}
+
+/// Returns whether a peer was heard that is in touch with the store.
+pub(crate) fn knows_relay(node: &Node) -> bool {
+    let state = node.state.borrow();
+    let mut live = state.peers.live(node.now());
+    live.any(|p| p.news.in_touch && p.news.ready)
 }
 
 /// Sends this entry's news regularly.
@@ -226,7 +242,7 @@
         for peer in lost {
             info!(node.log, "peer forgotten"; "peer" => &*peer);
         }
-        let interval = INTERVAL.max(INTERVAL_PER_PEER * socket.peer_count());
+        let interval = socket.interval();
         let silence = interval * SILENT_INTERVALS;
         node.state.borrow_mut().peers.set_silence(silence);
         tokio::time::sleep(interval).await;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -6,6 +6,7 @@
 //! that the store turns away so still hears of changes. See `docs/SYSTEM.md`.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,11 +24,13 @@
 use crate::link::{Link, LinkError};
 use crate::node::{Node, load_key};
 use crate::peers;
+use crate::sync::watch_wait;
 
 /// Changes of one kind that are kept for followers.
 const CHANGES_KEPT: usize = 400;
-/// Age of the store's last answer up to which an entry is followed.
-const FRESH: Duration = Duration::from_millis(2_300);
+/// Time beyond a watch's wait up to which the store's last answer is recent enough
+/// for an entry to be followed.
+const FRESH_SLACK: Duration = Duration::from_millis(800);
 /// Time that a follower waits for changes.
 pub(crate) const WAIT: Duration = Duration::from_millis(500);
 /// Time that an answer may take beyond the time that the follower waits.
@@ -37,11 +40,11 @@
 /// Bytes of an answer at most.
 const ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 /// Bytes of an object up to which it is passed on as a whole.
-const BODY_BYTES: usize = 8 * 1_024;
+const BODY_BYTES: usize = 64 * 1_024;
 /// Entries that watch the store in a small deployment.
 const WATCHERS_LEAST: usize = 2;
 /// Entries that follow one watcher at most.
-const FOLLOWERS_MOST: usize = 20;
+const FOLLOWERS_MOST: usize = 33;
 
 /// A change as entries tell it to each other.
 #[derive(Debug, Serialize, Deserialize)]
@@ -189,7 +192,8 @@
 
     fn look(&self, now: Time, kind: ObjectKind, after: Option<u64>) -> Look {
         let kinds = self.kinds.borrow();
-        let fresh = |k: &&Kept| k.heard.is_some_and(|t| now.since(t) < FRESH);
+        let limit = watch_wait(kind) + FRESH_SLACK;
+        let fresh = |k: &&Kept| k.heard.is_some_and(|t| now.since(t) < limit);
         let Some(kept) = kinds.get(&kind).filter(fresh) else {
             return Look::Unknown;
         };
@@ -331,11 +335,15 @@
         .peers
         .live(now)
         .filter(|p| p.news.in_touch && p.news.ready);
-    let mut entries: Vec<Name> = in_touch.map(|p| p.news.node.clone()).collect();
+    let mut entries: Vec<(u32, Name)> = in_touch
+        .map(|p| (p.news.cpu_milli, p.news.node.clone()))
+        .collect();
     if entries.is_empty() || state.in_touch(now, peers::STORE_TOUCH) {
-        entries.push(own.clone());
+        entries.push((node.settings.cpu_milli, own.clone()));
     }
-    entries.sort_by_key(|name| load_key(name));
+    // Those with the most processor time, which have the fastest links too.
+    entries.sort_by_key(|(cpu, name)| (Reverse(*cpu), load_key(name)));
+    let mut entries: Vec<Name> = entries.into_iter().map(|(_, name)| name).collect();
     let watchers = WATCHERS_LEAST.max(entries.len().div_ceil(FOLLOWERS_MOST));
     entries.truncate(watchers);
     if entries.contains(own) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -99,7 +99,7 @@
     for kind in ObjectKind::FOLLOWED {
         spawn_local(sync::follow(node.clone(), socket.clone(), kind));
     }
-    spawn_local(sync::register(node.clone(), incarnation));
+    spawn_local(sync::register(node.clone()));
     spawn_local(peers::publish_regularly(node.clone(), socket.clone()));
     spawn_local(peers::listen(node.clone(), socket.clone()));
     spawn_local(groups::plan_groups(node.clone()));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -47,6 +47,8 @@
     pub node: Name,
     /// Data centre of this VM.
     pub data_centre: Name,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub cpu_milli: u32,
     /// Where the process listens.
     pub listen: Listen,
     /// Where the store is.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 
-use crate::dialect::{Changes, DecodeError, Dialect, ObjectKind, Page, StoredObject};
+use crate::dialect::{Changes, DecodeError, Dialect, ListAge, ObjectKind, Page, StoredObject};
 use crate::link::{Link, LinkError};
 
 /// Time within which the store accepts a connection.
@@ -103,12 +103,13 @@
     pub(crate) async fn list(
         &self,
         kind: ObjectKind,
+        age: ListAge,
     ) -> Result<(Vec<StoredObject>, u64), StoreError> {
         let mut objects: Vec<StoredObject> = Vec::new();
         let mut revision = None;
         loop {
             let after = objects.last().map(|o| o.name.as_str());
-            let path = self.dialect.list_path(kind, after);
+            let path = self.dialect.list_path(kind, after, age);
             let answer = self
                 .call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
                 .await?;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 
-use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
+use crate::dialect::{Change, Changes, ListAge, ObjectKind, StoredObject};
 use crate::link::Link;
 use crate::node::Node;
 use crate::peers::{self, PeerSocket};
@@ -26,12 +26,20 @@
 /// Time after a new start or a return to service in which an endpoint may be cold
 /// whatever its record says.
 const COLD_DOUBT: Duration = Duration::from_secs(5);
-/// Time for which a relay that failed isn't followed.
+/// Time for which a relay that can't be reached isn't followed.
 const RELAY_AVOIDED: Duration = Duration::from_secs(3);
+/// Time for which a relay that hasn't heard the store isn't followed: it is asked
+/// again soon, since all its followers load the store meanwhile.
+const RELAY_BEHIND: Duration = Duration::from_millis(600);
 /// Pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause between failed calls.
 const RETRY_PAUSE_MOST: Duration = Duration::from_millis(800);
+/// Longest pause after the first list, in which peers make themselves heard: most
+/// entries then follow one of them and never watch the store.
+const PEERS_AWAITED: Duration = Duration::from_millis(1_200);
+/// Time between two looks whether a peer was heard.
+const PEERS_LOOK: Duration = Duration::from_millis(50);
 /// Time in which changes are collected before the next watch, on entries that
 /// don't plan.
 const COLLECT_PAUSE: Duration = Duration::from_millis(120);
@@ -42,11 +50,10 @@
 pub(crate) struct EntryRecord {
     /// Where it takes datagrams of its peers.
     pub(crate) peers: SocketAddr,
-    /// Run of its process.
-    pub(crate) incarnation: u64,
 }
 
-const fn watch_wait(kind: ObjectKind) -> Duration {
+/// Returns the longest time that a watch of the store waits.
+pub(crate) const fn watch_wait(kind: ObjectKind) -> Duration {
     match kind {
         ObjectKind::Configuration | ObjectKind::Endpoints | ObjectKind::Evacuations => {
             WATCH_WAIT_SHORT
@@ -71,6 +78,8 @@
     link: Option<Link>,
     /// Relay of the connection.
     relay: Option<Name>,
+    /// Whether the store has listed the kind before.
+    listed: bool,
     /// Relays that failed, and until when they aren't used.
     avoid: Vec<(Name, Time)>,
 }
@@ -84,6 +93,7 @@
         revision: None,
         link: None,
         relay: None,
+        listed: false,
         avoid: Vec::new(),
     };
     let mut pause = RETRY_PAUSE;
@@ -122,11 +132,20 @@
 }
 
 impl Follower {
+    /// Waits until a peer that knows what the store holds was heard.
+    async fn await_peers(&self) {
+        let end = self.node.now() + PEERS_AWAITED;
+        while !peers::knows_relay(&self.node) && self.node.now() < end {
+            tokio::time::sleep(PEERS_LOOK).await;
+        }
+    }
+
     fn source(&mut self) -> Source {
         let now = self.node.now();
         self.avoid.retain(|(_, until)| now < *until);
-        // The entries' addresses come from the store itself, or no relay is ever found.
-        if self.kind == ObjectKind::Entries {
+        // The first list of the entries' addresses comes from the store itself, or no
+        // relay is ever found.
+        if self.kind == ObjectKind::Entries && self.revision.is_none() {
             return Source::Store;
         }
         let chosen = relay::choose(&self.node, &self.avoid);
@@ -153,7 +172,7 @@
         match fetched {
             Ok(relayed) if relayed.revision < self.revision.unwrap_or(0) => {
                 // It is behind what this entry has seen already.
-                self.avoid.push((name, node.now() + RELAY_AVOIDED));
+                self.avoid.push((name, node.now() + RELAY_BEHIND));
             }
             Ok(relayed) => {
                 on_answer(node, "relay", true);
@@ -172,7 +191,11 @@
             Err(RelayError::HistoryGone) => self.revision = None,
             Err(error) => {
                 info!(node.log, "relay not followed"; "kind" => %self.kind, "peer" => &*name, "cause" => %error);
-                self.avoid.push((name, node.now() + RELAY_AVOIDED));
+                let pause = match error {
+                    RelayError::Refused(_) => RELAY_BEHIND,
+                    _ => RELAY_AVOIDED,
+                };
+                self.avoid.push((name, node.now() + pause));
             }
         }
         Ok(())
@@ -198,12 +221,20 @@
     async fn follow_store(&mut self) -> Result<(), StoreError> {
         let node = &self.node;
         let Some(revision) = self.revision else {
-            let (objects, revision) = node.store.list(self.kind).await?;
+            // What a later list says must not be older than what is known.
+            let age = match self.listed {
+                true => ListAge::Latest,
+                false => ListAge::Lagging,
+            };
+            let (objects, revision) = node.store.list(self.kind, age).await?;
             on_answer(node, "list", true);
             node.relay
                 .reset(self.kind, &objects, revision, Some(node.now()));
             take_list(node, &self.socket, self.kind, objects);
             self.revision = Some(revision);
+            if !std::mem::replace(&mut self.listed, true) {
+                self.await_peers().await;
+            }
             return Ok(());
         };
         let wait = watch_wait(self.kind);
@@ -334,6 +365,7 @@
     let born = endpoint.born;
     let group = endpoint.membership.as_ref();
     let group = group.map(|m| format!("{}/{} {} {}", m.group, m.epoch, m.rank, m.state));
+    let domain = endpoint.domain.clone();
     let cold = endpoint.cold;
     let change = node.state.borrow_mut().roster.put(endpoint);
     if change == RosterChange::Same {
@@ -348,7 +380,7 @@
         let allowance = state.cold.entry(id.clone()).or_default();
         allowance.set_cold(now, now + cold, phase);
     }
-    info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => born, "revision" => object.revision, "group" => group);
+    info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => born, "revision" => object.revision, "domain" => &*domain, "group" => group);
     if change == RosterChange::Reborn {
         node.links.drop_endpoint(&id);
     }
@@ -395,10 +427,9 @@
 }
 
 /// Stores where this entry's peers reach it, until that has succeeded.
-pub(crate) async fn register(node: Rc<Node>, incarnation: u64) {
+pub(crate) async fn register(node: Rc<Node>) {
     let record = EntryRecord {
         peers: node.settings.listen.peers,
-        incarnation,
     };
     let body = serde_json::to_string(&record).expect("a record is valid JSON");
     let name = node.settings.node.clone();
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -4,6 +4,7 @@
 //! others had in flight a moment ago. The same message carries liveness for the
 //! callers' directory, suspicions against endpoints and who may plan groups.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -61,6 +62,8 @@
     pub sequence: u64,
     /// Where callers reach it.
     pub front: SocketAddr,
+    /// Processor time that it may use, in thousandths of a core.
+    pub cpu_milli: u32,
     /// Whether it takes callers.
     pub ready: bool,
     /// Whether what it knows of the store is complete and new.
@@ -106,6 +109,12 @@
         self.settings.silence = silence;
     }
 
+    /// Returns the silence after which a peer isn't named to callers any more.
+    #[must_use]
+    pub const fn silence(&self) -> Duration {
+        self.settings.silence
+    }
+
     /// Takes a message. Returns whether it is newer than the last one.
     pub fn hear(&mut self, now: Time, news: PeerNews) -> bool {
         if let Some(known) = self.peers.get(&news.node) {
@@ -143,14 +152,14 @@
 
     /// Returns whether this entry should plan groups. Of the live entries that
     /// are in touch with the store, the one that plans already goes on; of several,
-    /// the one with the lowest name.
+    /// the one with the most processor time and then the lowest name.
     #[must_use]
-    pub fn may_plan(&self, now: Time, own: &str, in_touch: bool, planning: bool) -> bool {
+    pub fn may_plan(&self, now: Time, own: (&str, u32), in_touch: bool, planning: bool) -> bool {
         let mut rivals = self.live(now).filter(|p| p.news.in_touch && p.news.ready);
         let goes_first = |p: &Peer| match (p.news.planning, planning) {
             (true, false) => true,
             (false, true) => false,
-            _ => &*p.news.node < own,
+            _ => (Reverse(p.news.cpu_milli), &*p.news.node) < (Reverse(own.1), own.0),
         };
         in_touch && !rivals.any(goes_first)
     }
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -16,6 +16,7 @@
         incarnation: 1,
         sequence,
         front: "127.0.0.1:80".parse().unwrap(),
+        cpu_milli: 250,
         ready: true,
         in_touch: true,
         planning: false,
@@ -59,27 +60,30 @@
     let mut book = book();
     book.hear(ms(0), news("a", 1));
     assert!(
-        !book.may_plan(ms(0), "b", true, false),
+        !book.may_plan(ms(0), ("b", 250), true, false),
         "the lowest name goes first"
     );
-    assert!(book.may_plan(ms(0), "b", true, true), "who plans goes on");
+    assert!(
+        book.may_plan(ms(0), ("b", 250), true, true),
+        "who plans goes on"
+    );
     let mut planning = news("a", 2);
     planning.planning = true;
     book.hear(ms(0), planning);
     assert!(
-        !book.may_plan(ms(0), "b", true, true),
+        !book.may_plan(ms(0), ("b", 250), true, true),
         "of two that plan the lowest goes on"
     );
     assert!(
-        !book.may_plan(ms(0), "0", true, false),
+        !book.may_plan(ms(0), ("0", 250), true, false),
         "a newcomer doesn't take over"
     );
     assert!(
-        book.may_plan(ms(5_000), "b", true, false),
+        book.may_plan(ms(5_000), ("b", 250), true, false),
         "silent peers don't count"
     );
     assert!(
-        !book.may_plan(ms(5_000), "b", false, false),
+        !book.may_plan(ms(5_000), ("b", 250), false, false),
         "without the store nobody plans"
     );
 }
@@ -140,3 +144,13 @@
     monitor.on_life(&id, 1);
     assert_eq!(monitor.vitality(ms(80), &id, 1), Vitality::Alive);
 }
+
+#[test]
+fn a_large_vm_plans_before_a_small_one() {
+    let mut book = book();
+    book.hear(ms(0), news("a", 1));
+    let large = ("b", 500);
+    assert!(book.may_plan(ms(0), large, true, false));
+    let small = ("0", 125);
+    assert!(!book.may_plan(ms(0), small, true, false));
+}
