Put far groups together anew, keep members without a record, want the groups that fit into domains

At the start 10 and 19 groups were wanted where 9 domains hold 9 and 18, so some spanned domains from the first second on. Change: up to three groups of one model are built anew out of their members and the spares of their domains; a VM without a record stays a member (not a head) while it answers probes; the number of groups wanted is what fits into domains beside a reserve; spares load a model that a slow group of their domain lacks; no group over several domains is formed while two thirds of its model serve.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -253,7 +253,7 @@
                 .state
                 .borrow()
                 .roster
-                .get(&order.endpoint)
+                .get_any(&order.endpoint)
                 .cloned();
             let Some(endpoint) = found else {
                 continue;
@@ -288,14 +288,15 @@
         let now = self.node.now();
         let state = self.node.state.borrow();
         let mut probed = self.probed.borrow_mut();
-        probed.retain(|id, _| state.roster.get(id).is_some());
+        probed.retain(|id, _| state.roster.get_any(id).is_some());
         let mut due = Vec::new();
         for group in &plan.groups {
-            let members = group.members.iter().filter_map(|m| state.roster.get(&m.id));
+            let members = group.members.iter();
+            let members = members.filter_map(|m| state.roster.get_any(&m.id));
             let members: Vec<&Endpoint> = members.collect();
             let doubted = members.iter().any(|e| {
                 let vitality = state.monitor.vitality(now, &e.id, e.born);
-                vitality != Vitality::Alive
+                vitality != Vitality::Alive || state.roster.get(&e.id).is_none()
             });
             let interval = if doubted {
                 SUSPECT_INTERVAL
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -14,6 +14,9 @@
 //! weights takes the place of a lost one. See `docs/SYSTEM.md`.
 
 mod forming;
+mod gather;
+mod repair;
+mod standby;
 mod view;
 
 use std::collections::HashMap;
--- a/crates/fleet/src/planner/view.rs
+++ b/crates/fleet/src/planner/view.rs
@@ -4,7 +4,7 @@
 
 use bulrushhoist_core::Time;
 
-use crate::endpoint::{Endpoint, EndpointPhase, Membership};
+use crate::endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
 use crate::monitor::{Monitor, Vitality};
 use crate::plan::GroupPlan;
 use crate::roster::Roster;
@@ -21,6 +21,9 @@
     pub vitality: Vitality,
     /// Whether its data centre is out of service.
     pub evacuated: bool,
+    /// Whether the store holds its record. One that lost it gets no requests and joins
+    /// no group, but may go on as a member.
+    pub listed: bool,
 }
 
 impl VmView<'_> {
@@ -29,13 +32,22 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        !self.is_lost() && !self.evacuated && self.endpoint.phase == EndpointPhase::Ready
+        self.listed
+            && !self.is_lost()
+            && !self.evacuated
+            && self.endpoint.phase == EndpointPhase::Ready
     }
 
     pub(super) fn membership(&self) -> Option<&Membership> {
         self.endpoint.membership.as_ref()
     }
 
+    /// Returns whether it is joining a group: weights that it had may be gone soon.
+    pub(super) fn is_loading(&self) -> bool {
+        self.membership()
+            .is_some_and(|m| m.state == GroupState::Joining)
+    }
+
     pub(super) fn is_in(&self, group: &GroupPlan) -> bool {
         self.membership()
             .is_some_and(|m| *m.group == *group.name && m.epoch == group.epoch)
@@ -72,11 +84,14 @@
     monitor: &Monitor,
 ) -> Vec<VmView<'a>> {
     let own = roster.iter().filter(|e| *e.service == *service);
-    let mut views: Vec<VmView<'_>> = own
-        .map(|endpoint| VmView {
+    let unlisted = roster.unlisted(now).filter(|e| *e.service == *service);
+    let all = own.map(|e| (e, true)).chain(unlisted.map(|e| (e, false)));
+    let mut views: Vec<VmView<'_>> = all
+        .map(|(endpoint, listed)| VmView {
             endpoint,
             vitality: monitor.vitality(now, &endpoint.id, endpoint.born),
             evacuated: roster.is_evacuated(&endpoint.data_centre),
+            listed,
         })
         .collect();
     let silent = views
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -15,6 +15,9 @@
 /// Time after the store's return within which lapsed records come back.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which an endpoint without a record may go on as a member of its group.
+const UNLISTED_KEPT: Duration = Duration::from_secs(30);
+
 /// What a new record changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
@@ -34,6 +37,9 @@
 pub struct Roster {
     endpoints: HashMap<Name, Endpoint>,
     removals: HashMap<Name, Time>,
+    /// Endpoints whose record was removed, and when: one that is only cut off from the
+    /// store goes on as a member of its group.
+    unlisted: HashMap<Name, (Endpoint, Time)>,
     evacuated: BTreeSet<Name>,
     far: BTreeSet<(Name, u64)>,
     store_lost: bool,
@@ -44,6 +50,7 @@
     /// Takes an endpoint's record.
     pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
         self.removals.remove(&endpoint.id);
+        self.unlisted.remove(&endpoint.id);
         let id = endpoint.id.clone();
         let change = self.replace(id, endpoint);
         if change != RosterChange::Same {
@@ -102,10 +109,18 @@
             self.removals.entry(name.clone()).or_insert(now);
             return false;
         }
-        self.endpoints.remove(id);
+        self.unlist(now, id);
         true
     }
 
+    fn unlist(&mut self, now: Time, id: &str) {
+        self.unlisted
+            .retain(|_, (_, since)| now.since(*since) < UNLISTED_KEPT);
+        if let Some((name, endpoint)) = self.endpoints.remove_entry(id) {
+            self.unlisted.insert(name, (endpoint, now));
+        }
+    }
+
     /// Takes a complete list of the endpoints' names: the others were removed.
     pub fn retain(&mut self, now: Time, listed: &BTreeSet<Name>) -> Vec<Name> {
         let missing = self.endpoints.keys().filter(|id| !listed.contains(*id));
@@ -137,7 +152,7 @@
         }
         let gone: Vec<Name> = self.removals.drain().map(|(id, _)| id).collect();
         for id in &gone {
-            self.endpoints.remove(id);
+            self.unlist(now, id);
         }
         gone
     }
@@ -179,6 +194,20 @@
             && !self.removals.contains_key(&endpoint.id)
     }
 
+    /// Returns the last records of the endpoints that lost theirs a while ago.
+    pub fn unlisted(&self, now: Time) -> impl Iterator<Item = &Endpoint> {
+        let recent = move |since: Time| now.since(since) < UNLISTED_KEPT;
+        let all = self.unlisted.values();
+        all.filter(move |(_, since)| recent(*since)).map(|(e, _)| e)
+    }
+
+    /// Returns an endpoint's record, also if it was removed a while ago.
+    #[must_use]
+    pub fn get_any(&self, id: &str) -> Option<&Endpoint> {
+        let unlisted = || self.unlisted.get(id).map(|(e, _)| e);
+        self.endpoints.get(id).or_else(unlisted)
+    }
+
     /// Returns an endpoint's record.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
--- a/crates/fleet/tests/groups_world.rs
+++ b/crates/fleet/tests/groups_world.rs
@@ -249,7 +249,7 @@
         if self.now.is_multiple_of(500) {
             for vm in self.vms.values() {
                 let (id, born) = (&vm.record.id, vm.record.born);
-                let Some(known) = entry.seen.get(id) else {
+                let Some(known) = entry.roster.get_any(id).cloned() else {
                     continue;
                 };
                 if !vm.alive {
--- /dev/null
+++ b/crates/fleet/tests/planner.rs
@@ -0,0 +1,224 @@
+//! Plans for one moment of a small fleet of two or three domains.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{
+    Endpoint, GroupPlan, GroupSettings, GroupState, LoadLimits, MemberPlan, Monitor,
+    MonitorSettings, Plan, Planner, Roster, Step, survey,
+};
+use support::{endpoint, member, ms, service};
+
+/// Moment at which the store's return is long over and callers have come.
+const NOW_MS: u64 = 10_000;
+
+struct Fleet {
+    roster: Roster,
+    monitor: Monitor,
+    plan: Plan,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut roster = Roster::default();
+        roster.on_store_back(ms(0));
+        Self {
+            roster,
+            monitor: Monitor::new(MonitorSettings::default()),
+            plan: Plan::default(),
+        }
+    }
+
+    /// Adds an open group of these VMs; a VM's domain is the first letter of its name.
+    fn group(&mut self, model: &str, members: &[&str]) {
+        let epoch = self.plan.draw_epoch();
+        let name = format!("engines-{epoch}");
+        for (rank, id) in members.iter().enumerate() {
+            let state = match rank {
+                0 => GroupState::Open,
+                _ => GroupState::Ready,
+            };
+            let rank = u32::try_from(rank).unwrap();
+            let mut vm = staged(id, model);
+            vm.membership = member(&name, epoch, rank, state);
+            self.roster.put(vm);
+        }
+        let members = members.iter().map(|id| MemberPlan {
+            id: (*id).to_owned(),
+            born: 1,
+        });
+        *self.plan.wanted.entry(model.to_owned()).or_default() += 1;
+        self.plan.groups.push(GroupPlan {
+            name,
+            service: "engines".to_owned(),
+            model: model.to_owned(),
+            epoch,
+            members: members.collect(),
+            standby: false,
+        });
+    }
+
+    /// Adds a VM that is in no group and has a model loaded.
+    fn spare(&mut self, model: &str, id: &str) {
+        let epoch = self.plan.draw_epoch();
+        let name = format!("engines-standby-{epoch}");
+        let mut vm = staged(id, model);
+        vm.membership = member(&name, epoch, 0, GroupState::Ready);
+        self.roster.put(vm);
+        self.plan.groups.push(GroupPlan {
+            name,
+            service: "engines".to_owned(),
+            model: model.to_owned(),
+            epoch,
+            members: vec![MemberPlan {
+                id: id.to_owned(),
+                born: 1,
+            }],
+            standby: true,
+        });
+    }
+
+    /// Returns the plan after the next step.
+    fn step(&self, now: Time) -> Plan {
+        let mut planner = Planner::new(GroupSettings::default());
+        let views = survey(now, "engines", &self.roster, &self.monitor);
+        let limits = LoadLimits {
+            in_traffic: true,
+            rate_part: 0.9,
+        };
+        match planner.step(now, &service(), &self.plan, &views, limits) {
+            Step::Store(plan) => plan,
+            _ => self.plan.clone(),
+        }
+    }
+}
+
+fn staged(id: &str, model: &str) -> Endpoint {
+    let mut vm = endpoint(id, &id[..1]);
+    vm.model = Some(model.into());
+    vm.staged = [model.into()].into_iter().collect();
+    vm
+}
+
+fn domains(group: &GroupPlan) -> usize {
+    let domains: BTreeSet<&str> = group.members.iter().map(|m| &m.id[..1]).collect();
+    domains.len()
+}
+
+fn serving(plan: &Plan) -> Vec<&GroupPlan> {
+    plan.groups.iter().filter(|g| !g.standby).collect()
+}
+
+#[test]
+fn two_groups_over_the_same_domains_are_put_together_in_one_each() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "b1", "b2"]);
+    fleet.group("large", &["b3", "b4", "a3", "a4"]);
+    let plan = fleet.step(ms(NOW_MS));
+    assert_eq!(serving(&plan).len(), 2);
+    assert!(serving(&plan).iter().all(|g| domains(g) == 1), "{plan:#?}");
+    assert!(serving(&plan).iter().all(|g| g.epoch > 2));
+}
+
+#[test]
+fn three_groups_are_put_together_where_no_two_can_be() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "b1", "c1"]);
+    fleet.group("large", &["b2", "b3", "c2", "a3"]);
+    fleet.group("large", &["c3", "c4", "a4", "b4"]);
+    let plan = fleet.step(ms(NOW_MS));
+    assert_eq!(serving(&plan).len(), 3);
+    assert!(serving(&plan).iter().all(|g| domains(g) == 1), "{plan:#?}");
+}
+
+#[test]
+fn groups_stay_while_too_many_of_their_model_are_closed() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "b1", "b2"]);
+    fleet.group("large", &["b3", "b4", "a3", "a4"]);
+    fleet.group("large", &["c1", "c2", "c3", "c4"]);
+    let mut head = staged("c1", "large");
+    head.membership = member("engines-3", 3, 0, GroupState::Ready);
+    fleet.roster.put(head);
+    let plan = fleet.step(ms(NOW_MS));
+    assert_eq!(plan.groups, fleet.plan.groups);
+}
+
+#[test]
+fn a_spare_of_another_model_loads_what_a_slow_group_lacks_in_its_domain() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "a3", "b1"]);
+    fleet.group("small", &["b2", "b3"]);
+    fleet.spare("small", "a4");
+    let plan = fleet.step(ms(NOW_MS));
+    let standby = plan.groups.iter().find(|g| g.has("a4")).unwrap();
+    assert_eq!(standby.model, "large");
+}
+
+#[test]
+fn a_member_that_lost_its_record_stays_while_it_answers_and_a_head_doesnt() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "a3", "a4"]);
+    fleet.spare("large", "a5");
+    fleet.roster.remove(ms(NOW_MS - 2_000), "a3");
+    let plan = fleet.step(ms(NOW_MS));
+    assert_eq!(plan.groups, fleet.plan.groups, "a3 still answers");
+    for _ in 0..2 {
+        fleet.monitor.on_silence(ms(NOW_MS), &"a3".into(), 1);
+    }
+    let plan = fleet.step(ms(NOW_MS));
+    assert!(serving(&plan)[0].has("a5"), "a3 is silent");
+
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "a3", "a4"]);
+    fleet.spare("large", "a5");
+    fleet.roster.remove(ms(NOW_MS - 2_000), "a1");
+    let plan = fleet.step(ms(NOW_MS));
+    assert!(!serving(&plan)[0].has("a1"), "a head gets requests");
+    assert!(serving(&plan)[0].has("a5"));
+}
+
+#[test]
+fn no_group_over_several_domains_is_formed_while_most_serve() {
+    let mut fleet = Fleet::new();
+    for domain in ["a", "b"] {
+        let vm = |i: u8| format!("{domain}{i}");
+        let (one, two, three, four) = (vm(1), vm(2), vm(3), vm(4));
+        fleet.group("large", &[&one, &two, &three, &four]);
+        fleet.spare("large", &vm(5));
+        fleet.spare("large", &vm(6));
+    }
+    fleet.plan.wanted.insert("large".to_owned(), 3);
+    let plan = fleet.step(ms(NOW_MS));
+    let large = serving(&plan).into_iter().filter(|g| g.model == "large");
+    assert_eq!(large.count(), 2, "{plan:#?}");
+}
+
+#[test]
+fn as_many_groups_are_wanted_as_fit_side_by_side_into_the_domains() {
+    let mut fleet = Fleet::new();
+    for domain in ["a", "b", "c"] {
+        for i in 0..9 {
+            fleet.roster.put(staged(&format!("{domain}{i}"), "large"));
+        }
+    }
+    let mut planner = Planner::new(GroupSettings::default());
+    let limits = LoadLimits {
+        in_traffic: false,
+        rate_part: 0.9,
+    };
+    let mut plan = Plan::default();
+    for at in [0, 1_000] {
+        let views = survey(ms(NOW_MS + at), "engines", &fleet.roster, &fleet.monitor);
+        let step = planner.step(ms(NOW_MS + at), &service(), &plan, &views, limits);
+        if let Step::Store(next) = step {
+            plan = next;
+        }
+    }
+    // Seven VMs of each domain may serve: one large group of 4 and one small of 2.
+    assert_eq!(plan.wanted["large"], 3);
+    assert_eq!(plan.wanted["small"], 3);
+    assert!(serving(&plan).iter().all(|g| domains(g) == 1), "{plan:#?}");
+}
