--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -4,7 +4,7 @@
 //! not. A step between the two shows that what this process believes is old.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bulrushhoist_core::Time;
 use rustix::time::{ClockId, clock_gettime};
@@ -24,6 +24,13 @@
     Duration::new(seconds, nanos)
 }
 
+/// Returns the time of day in milliseconds of the Unix epoch. It may jump by seconds.
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before the epoch makes every endpoint look new, which is safe.
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 impl Clock {
     pub(crate) fn new() -> Self {
         Self {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -75,7 +75,18 @@
                 // An answer shows that the VM lives; whether a stalled head
                 // writes again is seen from its streams.
                 state.monitor.on_probe_answer(&endpoint.id, endpoint.born);
-                node.dialect.report(&body).ok()
+                let figures = node.dialect.report(&body);
+                match &figures {
+                    Ok(figures) => {
+                        state
+                            .monitor
+                            .on_pace(now, &endpoint.id, endpoint.born, figures.slowness)
+                    }
+                    Err(error) => {
+                        info!(node.log, "report not usable"; "endpoint" => &*endpoint.id, "cause" => %error);
+                    }
+                }
+                figures.ok()
             }
             Ok(_) => None,
             Err(error) => {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,7 +12,7 @@
 use bulrushhoist_fleet::{
     Batch, Candidate, Catalog, ColdAllowance, Endpoint, Engine, HeadLoad, Monitor, MonitorSettings,
     Name, PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice, PlainLoad, Roster,
-    SharedBudget, Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head,
+    SharedBudget, SlowHead, Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head,
     choose_plain, longest_pass,
 };
 use rand::SeedableRng as _;
@@ -34,6 +34,8 @@
 const STALL_LEAST: Duration = Duration::from_millis(450);
 /// Longest passes of a sound head that a silence must exceed.
 const STALL_PASSES: f64 = 2.5;
+/// Factor from which on a slow head is told to the other entries.
+const SLOW_NEWS: f64 = 1.3;
 /// Time for which a suspicion is told to the other entries.
 const SUSPICION_NEWS: Duration = Duration::from_millis(1_500);
 
@@ -220,7 +222,9 @@
         let now = self.now();
         let state = self.state.borrow();
         let load = state.loads.get(endpoint);
-        load.is_some_and(|l| l.requests > 0 && now.since(l.active) >= state.stall_limit(endpoint))
+        load.is_some_and(|l| {
+            l.requests > 0 && now.since(l.active) >= state.stall_limit(now, endpoint)
+        })
     }
 
     /// Wakes requests that can start now, and turns away those that waited too long.
@@ -271,6 +275,27 @@
         .collect()
     }
 
+    /// Returns the slow heads, if this entry plans and therefore probes their members.
+    pub(crate) fn slow_news(&self) -> Vec<SlowHead> {
+        let state = self.state.borrow();
+        if !state.planning {
+            return Vec::new();
+        }
+        let now = self.now();
+        let mut slow: Vec<SlowHead> = Vec::new();
+        for endpoint in state.roster.iter() {
+            let factor = state.monitor.slowness(now, &endpoint.id, endpoint.born);
+            if factor < SLOW_NEWS {
+                continue;
+            }
+            if let Some(head) = state.roster.head_of(endpoint) {
+                let key = load_key(&head.id);
+                slow.push(SlowHead { key, factor });
+            }
+        }
+        slow
+    }
+
     /// Returns what this entry has in flight, for the other entries.
     pub(crate) fn load_news(&self) -> Vec<HeadLoad> {
         let state = self.state.borrow();
@@ -286,7 +311,7 @@
 
 impl State {
     /// Returns the silence after which a head counts as stalled.
-    fn stall_limit(&self, id: &str) -> Duration {
+    fn stall_limit(&self, now: Time, id: &str) -> Duration {
         let Some(head) = self.roster.get(id) else {
             return STALL_LEAST;
         };
@@ -298,18 +323,22 @@
             .models
             .iter()
             .find(|m| Some(&m.name) == head.model.as_ref());
-        let pace = model.map_or(1.0, |m| m.pace) * self.slowness(engine, head);
+        let pace = model.map_or(1.0, |m| m.pace) * self.slowness(now, engine, head);
         longest_pass(engine, pace)
             .mul_f64(STALL_PASSES)
             .max(STALL_LEAST)
     }
 
-    fn slowness(&self, engine: &Engine, head: &Endpoint) -> f64 {
-        if self.roster.is_far(head) {
-            engine.far_factor
-        } else {
-            1.0
-        }
+    /// Returns the factor by which a group is slower than published: it spans domains,
+    /// or one of its members is slow.
+    fn slowness(&self, now: Time, engine: &Engine, head: &Endpoint) -> f64 {
+        let far = match self.roster.is_far(head) {
+            true => engine.far_factor,
+            false => 1.0,
+        };
+        let own = self.monitor.slowness(now, &head.id, head.born);
+        let told = self.peers.slowness(now, load_key(&head.id));
+        far.max(own).max(told)
     }
 
     /// Returns whether the store answered within this time and no record is
@@ -372,7 +401,7 @@
                 id: head.id.clone(),
                 batch: self.batch(now, &head.id),
                 near: &*head.data_centre == data_centre,
-                slowness: self.slowness(engine, head),
+                slowness: self.slowness(now, engine, head),
                 spent: !self.has_cold_room(now, &head.id, known.cold_per_s),
             };
             match self.vitality(now, head) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Fingerprint;
-use bulrushhoist_fleet::{HeadLoad, Name, PeerNews, Suspicion};
+use bulrushhoist_fleet::{HeadLoad, Name, PeerNews, SlowHead, Suspicion};
 use prost::Message as _;
 use slog::{info, warn};
 use tokio::net::UdpSocket;
@@ -46,6 +46,15 @@
     born: u64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct SlowMessage {
+    #[prost(fixed32, tag = "1")]
+    key: u32,
+    /// Hundredths of the factor.
+    #[prost(uint32, tag = "2")]
+    percent: u32,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct StrikeMessage {
     #[prost(fixed64, tag = "1")]
@@ -78,6 +87,8 @@
     planning: bool,
     #[prost(uint32, tag = "11")]
     cpu_milli: u32,
+    #[prost(message, repeated, tag = "12")]
+    slow: Vec<SlowMessage>,
 }
 
 impl NewsMessage {
@@ -93,6 +104,7 @@
             planning: self.planning,
             loads: self.loads.into_iter().map(HeadLoad::from).collect(),
             suspects: self.suspects.into_iter().map(Suspicion::from).collect(),
+            slow: self.slow.into_iter().map(SlowHead::from).collect(),
             strikes: self
                 .strikes
                 .into_iter()
@@ -112,6 +124,15 @@
     }
 }
 
+impl From<SlowMessage> for SlowHead {
+    fn from(message: SlowMessage) -> Self {
+        Self {
+            key: message.key,
+            factor: f64::from(message.percent) / 100.0,
+        }
+    }
+}
+
 impl From<SuspicionMessage> for Suspicion {
     fn from(message: SuspicionMessage) -> Self {
         Self {
@@ -177,6 +198,7 @@
     let now = node.now();
     let loads = node.load_news().into_iter();
     let suspects = node.suspicion_news().into_iter();
+    let slow = node.slow_news().into_iter();
     let ready = node.is_ready();
     let state = node.state.borrow();
     let strikes = state.quarantine.news(STRIKES_PER_MESSAGE);
@@ -208,6 +230,12 @@
                 born: s.born,
             })
             .collect(),
+        slow: slow
+            .map(|s| SlowMessage {
+                key: s.key,
+                percent: (s.factor * 100.0) as u32,
+            })
+            .collect(),
         strikes: strikes.take(STRIKES_PER_MESSAGE).collect(),
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Name, RosterChange};
+use bulrushhoist_fleet::{COLD_DOUBT, Name, RosterChange, cold_doubt};
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 
+use crate::clock::unix_millis;
 use crate::dialect::{Change, Changes, ListAge, ObjectKind, StoredObject};
 use crate::link::Link;
 use crate::node::Node;
@@ -23,9 +24,6 @@
 const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
 /// Longest time that a watch for changes of the entries waits.
 const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
-/// Time after a new start or a return to service in which an endpoint may be cold
-/// whatever its record says.
-const COLD_DOUBT: Duration = Duration::from_secs(5);
 /// Time for which a relay that can't be reached isn't followed.
 const RELAY_AVOIDED: Duration = Duration::from_secs(3);
 /// Time for which a relay that hasn't heard the store isn't followed: it is asked
@@ -371,8 +369,7 @@
     if change == RosterChange::Same {
         return;
     }
-    let new = matches!(change, RosterChange::Added | RosterChange::Reborn);
-    let cold = if new { cold.max(COLD_DOUBT) } else { cold };
+    let cold = cold.max(cold_doubt(change, born, unix_millis()));
     if !cold.is_zero() {
         let now = node.now();
         let mut state = node.state.borrow_mut();
--- a/crates/fleet/src/monitor.rs
+++ b/crates/fleet/src/monitor.rs
@@ -50,11 +50,16 @@
     suspected: Option<Time>,
     failed_probes: u32,
     refused: u32,
+    /// Factor by which it reported to be slower than published, and when.
+    slowness: Option<(f64, Time)>,
 }
 
 /// Refused connections in a row that show an incarnation to have ended.
 const REFUSALS_TO_DEAD: u32 = 2;
 
+/// Time for which a report of an endpoint's pace counts.
+const PACE_KEPT: Duration = Duration::from_secs(3);
+
 /// Signs for and against every endpoint.
 #[derive(Debug, Default)]
 pub struct Monitor {
@@ -85,12 +90,29 @@
 
     /// Takes a sign of life: an answer, an event or a report.
     pub fn on_life(&mut self, id: &Name, born: u64) {
-        *self.signs(id, born) = Signs {
+        let signs = self.signs(id, born);
+        *signs = Signs {
             born,
+            slowness: signs.slowness,
             ..Signs::default()
         };
     }
 
+    /// Takes what an endpoint reports of its pace.
+    pub fn on_pace(&mut self, now: Time, id: &Name, born: u64, slowness: f64) {
+        self.signs(id, born).slowness = Some((slowness, now));
+    }
+
+    /// Returns the factor by which an endpoint is slower than published; 1 if it
+    /// hasn't reported for a while.
+    #[must_use]
+    pub fn slowness(&self, now: Time, id: &str, born: u64) -> f64 {
+        let signs = self.signs.get(id).filter(|s| s.born == born);
+        let recent = |(_, at): &(f64, Time)| now.since(*at) < PACE_KEPT;
+        let pace = signs.and_then(|s| s.slowness).filter(recent);
+        pace.map_or(1.0, |(slowness, _)| slowness.max(1.0))
+    }
+
     /// Takes the answer to a probe: the VM lives, whatever its group does.
     pub fn on_probe_answer(&mut self, id: &Name, born: u64) {
         let signs = self.signs(id, born);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -51,6 +51,15 @@
     pub born: u64,
 }
 
+/// A head whose group is slower than published.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowHead {
+    /// Short hash of the head's name.
+    pub key: u32,
+    /// Factor by which it is slower.
+    pub factor: f64,
+}
+
 /// One message of a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerNews {
@@ -74,6 +83,8 @@
     pub loads: Vec<HeadLoad>,
     /// Endpoints that failed or stalled a moment ago.
     pub suspects: Vec<Suspicion>,
+    /// Slow heads, as the entry sees them that plans and probes.
+    pub slow: Vec<SlowHead>,
     /// Requests that endpoints were lost with, and the lost incarnations.
     pub strikes: Vec<(Fingerprint, u64)>,
 }
@@ -150,6 +161,14 @@
         here.fold((0, 0), |sum, l| (sum.0 + l.requests, sum.1 + l.unread))
     }
 
+    /// Returns the factor by which a head is slower than published, as the peers say.
+    #[must_use]
+    pub fn slowness(&self, now: Time, key: u32) -> f64 {
+        let slow = self.live(now).flat_map(|p| &p.news.slow);
+        let here = slow.filter(|s| s.key == key).map(|s| s.factor);
+        here.fold(1.0, f64::max)
+    }
+
     /// Returns whether this entry should plan groups. Of the live entries that
     /// are in touch with the store, the one that plans already goes on; of several,
     /// the one with the most processor time and then the lowest name.
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -13,6 +13,7 @@
 use crate::Name;
 use crate::catalog::Engine;
 use crate::pace::{Batch, Work, first_token, step_time};
+use crate::roster::RosterChange;
 
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,6 +23,9 @@
     pub most: usize,
     /// Entries that share the view.
     pub entries: usize,
+    /// Part of a head's places that is left free for what the other entries sent since
+    /// their last message, for each entry under a square root: their errors add up so.
+    pub margin: f64,
     /// Part by which an expected time is varied at random, up or down.
     pub blur: f64,
     /// Output tokens whose time counts beside the first token's.
@@ -35,6 +39,7 @@
         Self {
             most: 84,
             entries: 7,
+            margin: 0.015,
             blur: 0.12,
             tokens: 20,
             distance: Duration::from_millis(12),
@@ -86,7 +91,8 @@
     if candidates.is_empty() {
         return Placement::Nowhere;
     }
-    let slots = f64::from(engine.slots);
+    let margin = settings.margin * (settings.entries as f64).sqrt();
+    let slots = f64::from(engine.slots) * (1.0 - margin);
     let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
     let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
     let compared = (settings.most / settings.entries.max(1)).clamp(LEAST_COMPARED, MOST_COMPARED);
@@ -130,6 +136,25 @@
     phase: f64,
 }
 
+/// Time after its start in which an endpoint may be cold whatever its record says.
+pub const COLD_DOUBT: Duration = Duration::from_secs(5);
+/// Age from which an endpoint that becomes known isn't new: clocks of different VMs
+/// may differ by seconds.
+const GROWN_UP: Duration = Duration::from_secs(15);
+
+/// Returns for how long an endpoint must be taken as cold because it may have started
+/// a moment ago and its record lags. `born_ms` and `now_ms` are Unix times.
+#[must_use]
+pub fn cold_doubt(change: RosterChange, born_ms: u64, now_ms: u64) -> Duration {
+    let age = Duration::from_millis(now_ms.saturating_sub(born_ms));
+    match change {
+        RosterChange::Reborn => COLD_DOUBT,
+        // An entry that has just started knows no endpoint, and most are warm.
+        RosterChange::Added if age < GROWN_UP => COLD_DOUBT,
+        RosterChange::Added | RosterChange::Updated | RosterChange::Same => Duration::ZERO,
+    }
+}
+
 /// Part of the time between two requests of one entry in which it may send its own.
 /// Longer turns would let many entries send at the moment at which a head opens.
 const TURN_PART: f64 = 0.1;
--- a/crates/fleet/src/planner/gather.rs
+++ b/crates/fleet/src/planner/gather.rs
@@ -89,7 +89,7 @@
         .filter(|g| span(vms, g).is_some_and(|s| s > 1));
     let scattered: Vec<&GroupPlan> = scattered.copied().take(MOST_SEARCHED).collect();
     let mut spares: Vec<&VmView<'_>> = free(vms, plan);
-    spares.retain(|v| v.distance_to(&model.name) == 0 && !v.is_loading());
+    spares.retain(|v| v.distance_to(&model.name) == 0 && !v.is_loading() && !v.is_slow());
     for count in 1..=MOST_AT_ONCE.min(scattered.len()) {
         let choices = Choices::new(scattered.len(), count);
         let changes = choices.filter_map(|chosen| {
--- a/crates/fleet/src/planner/repair.rs
+++ b/crates/fleet/src/planner/repair.rs
@@ -4,7 +4,7 @@
 use super::{VmView, Vms, Weights};
 use crate::catalog::Engine;
 use crate::endpoint::EndpointPhase;
-use crate::plan::{MemberPlan, Plan};
+use crate::plan::{GroupPlan, MemberPlan, Plan};
 
 /// Replaces lost and leaving members, or gives up groups that can't be mended.
 pub(super) fn repair(
@@ -61,7 +61,10 @@
     let mut kept: Vec<&MemberPlan> = group.members.iter().filter(stays).collect();
     // Only the head gets requests: the others needn't have a record while they answer.
     if kept.len() == group.members.len() && listed(&kept[0]) {
-        return Mended::Kept;
+        return match without_slow(vms, plan, group) {
+            Some(members) => Mended::Replaced(members),
+            None => Mended::Kept,
+        };
     }
     // Without a record nobody sees a VM join.
     kept.retain(listed);
@@ -90,6 +93,30 @@
     Mended::Replaced(members)
 }
 
+/// Returns members without the slow ones, if there are spares for all of them in the
+/// domain that are not slow themselves.
+fn without_slow(vms: &Vms<'_>, plan: &Plan, group: &GroupPlan) -> Option<Vec<MemberPlan>> {
+    let is_slow = |m: &&MemberPlan| vms[m.id.as_str()].is_slow();
+    let slow = group.members.iter().filter(is_slow).count();
+    if slow == 0 {
+        return None;
+    }
+    let mut members: Vec<MemberPlan> = group
+        .members
+        .iter()
+        .filter(|m| !is_slow(m))
+        .cloned()
+        .collect();
+    let domain = &vms[members.first()?.id.as_str()].endpoint.domain;
+    let mut spares = spares_for(vms, plan, domain, &group.model, Weights::Loaded);
+    spares.retain(|v| v.endpoint.domain == *domain && !v.is_slow() && !v.is_loading());
+    if spares.len() < slow || members.iter().any(|m| !vms[m.id.as_str()].listed) {
+        return None;
+    }
+    members.extend(spares.iter().take(slow).map(member));
+    Some(members)
+}
+
 /// Returns the VMs that can take a lost member's place, the best first: those of
 /// the domain that have the weights, then such of other domains, then the rest of
 /// the domain. A group over several domains is slower, but a load takes longer
@@ -105,6 +132,7 @@
         let far = *v.endpoint.domain != *domain;
         let unstaged = !v.has_staged(model);
         (
+            v.is_slow(),
             unstaged,
             v.is_loading(),
             far,
--- a/crates/fleet/src/planner/view.rs
+++ b/crates/fleet/src/planner/view.rs
@@ -24,6 +24,8 @@
     /// Whether the store holds its record. One that lost it gets no requests and joins
     /// no group, but may go on as a member.
     pub listed: bool,
+    /// Factor by which it is slower than published.
+    pub slowness: f64,
 }
 
 impl VmView<'_> {
@@ -38,6 +40,11 @@
             && self.endpoint.phase == EndpointPhase::Ready
     }
 
+    /// Returns whether it is slow enough to be worth a replacement.
+    pub(super) fn is_slow(&self) -> bool {
+        self.slowness >= SLOW
+    }
+
     pub(super) fn membership(&self) -> Option<&Membership> {
         self.endpoint.membership.as_ref()
     }
@@ -71,6 +78,9 @@
     }
 }
 
+/// Factor from which on a slow member is replaced: its whole group goes at its pace.
+const SLOW: f64 = 2.5;
+
 /// Part of the VMs that are silent at once from which on an entry takes itself for
 /// cut off and none of them for lost.
 const CUT_OFF_PART: f64 = 0.4;
@@ -92,6 +102,7 @@
             vitality: monitor.vitality(now, &endpoint.id, endpoint.born),
             evacuated: roster.is_evacuated(&endpoint.data_centre),
             listed,
+            slowness: monitor.slowness(now, &endpoint.id, endpoint.born),
         })
         .collect();
     let silent = views
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -186,6 +186,17 @@
         self.evacuated.contains(data_centre)
     }
 
+    /// Returns the head of the group that an endpoint is in.
+    #[must_use]
+    pub fn head_of(&self, endpoint: &Endpoint) -> Option<&Endpoint> {
+        let own = endpoint.membership.as_ref()?;
+        let same = |e: &&Endpoint| {
+            let other = e.membership.as_ref();
+            other.is_some_and(|m| m.is_head() && m.group == own.group && m.epoch == own.epoch)
+        };
+        self.endpoints.values().find(same)
+    }
+
     /// Returns whether an endpoint may get new work.
     #[must_use]
     pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -17,6 +17,7 @@
         sequence,
         front: "127.0.0.1:80".parse().unwrap(),
         cpu_milli: 250,
+        slow: Vec::new(),
         ready: true,
         in_touch: true,
         planning: false,
