--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -28,7 +28,8 @@
 pub(crate) struct Flight {
     node: Rc<Node>,
     pub(crate) endpoint: Endpoint,
-    unread: u32,
+    /// Tokens of the prompt, until the first event.
+    unread: Option<u32>,
 }
 
 impl Flight {
@@ -39,24 +40,24 @@
         Self {
             node: node.clone(),
             endpoint,
-            unread,
+            unread: Some(unread),
         }
     }
 
-    /// Takes the prompt as read.
+    /// Takes the first event: the prompt is read.
     pub(crate) fn on_first_event(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        self.node
-            .state
-            .borrow_mut()
-            .on_read(&self.endpoint.id, unread);
+        if let Some(unread) = self.unread.take() {
+            let mut state = self.node.state.borrow_mut();
+            state.on_first_event(&self.endpoint.id, unread);
+        }
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.on_first_event();
-        self.node.state.borrow_mut().on_done(&self.endpoint.id);
+        let mut state = self.node.state.borrow_mut();
+        state.on_done(&self.endpoint.id, self.unread);
+        drop(state);
         self.node.advance_lines();
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,10 +10,10 @@
 
 use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, Time, stable_hash};
 use bulrushhoist_fleet::{
-    Batch, Candidate, Catalog, ColdAllowance, Endpoint, Engine, HeadLoad, Monitor, MonitorSettings,
-    Name, PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice, PlainLoad, Roster,
-    SharedBudget, SlowHead, Suspicion, Vitality, WaitingLine, WaitingSettings, Work, choose_head,
-    choose_plain, longest_pass,
+    Batch, Candidate, Catalog, ColdAllowance, Endpoint, Engine, FirstTimes, HeadLoad, Monitor,
+    MonitorSettings, Name, PeerBook, PeerSettings, PlaceSettings, Placement, PlainChoice,
+    PlainLoad, Room, Roster, SharedBudget, SlowHead, Suspicion, Vitality, WaitingLine,
+    WaitingSettings, Work, choose_head, choose_plain, longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -64,6 +64,8 @@
 pub(crate) struct OwnLoad {
     pub(crate) requests: u32,
     pub(crate) unread: u32,
+    /// Requests whose first event has come.
+    pub(crate) writing: u32,
     /// When the endpoint last wrote something, or got work while it had none.
     pub(crate) active: Time,
 }
@@ -73,6 +75,8 @@
 pub(crate) struct Line {
     pub(crate) waiting: WaitingLine,
     pub(crate) wakers: HashMap<u64, oneshot::Sender<bool>>,
+    /// How long first events take.
+    pub(crate) firsts: FirstTimes,
 }
 
 /// A service's model, as requests name it.
@@ -217,14 +221,19 @@
         }
     }
 
-    /// Returns whether an endpoint with work has been silent for too long.
+    /// Returns whether an endpoint with work has been silent for too long. Where
+    /// nothing has begun to write and nobody else doubts the endpoint, the requests
+    /// may still wait for their turn there.
     pub(crate) fn is_stalled(&self, endpoint: &Name) -> bool {
         let now = self.now();
         let state = self.state.borrow();
-        let load = state.loads.get(endpoint);
-        load.is_some_and(|l| {
-            l.requests > 0 && now.since(l.active) >= state.stall_limit(now, endpoint)
-        })
+        let Some(load) = state.loads.get(endpoint).filter(|l| l.requests > 0) else {
+            return false;
+        };
+        let head = state.roster.get(endpoint);
+        let doubted = head.is_none_or(|e| state.vitality(now, e) != Vitality::Alive);
+        let turns = if load.writing > 0 || doubted { 1 } else { 2 };
+        now.since(load.active) >= state.stall_limit(now, endpoint) * turns
     }
 
     /// Wakes requests that can start now, and turns away those that waited too long.
@@ -241,11 +250,13 @@
                 }
             }
             while !line.waiting.is_empty() {
-                let placed =
-                    state.place(now, &self.settings.data_centre, key, Work::default(), &[]);
-                let Placement::Head(_, first) = placed else {
+                let first = line.firsts.usual();
+                let room = line.waiting.next_room(now, first);
+                let centre = &self.settings.data_centre;
+                let placed = state.place(now, centre, key, Work::default(), room, &[]);
+                if !matches!(placed, Placement::Head(..)) {
                     break;
-                };
+                }
                 let Some(turn) = line.waiting.next(now, first) else {
                     break;
                 };
@@ -376,10 +387,12 @@
         &mut self,
         now: Time,
         data_centre: &str,
-        (service, model): &ModelKey,
+        key: &ModelKey,
         work: Work,
+        room: Room,
         avoid: &[Name],
     ) -> Placement {
+        let (service, model) = key;
         let catalog = self.catalog.clone();
         let known = catalog.service(service);
         let Some((known, engine)) = known.and_then(|s| s.engine.as_ref().map(|e| (s, e))) else {
@@ -410,8 +423,14 @@
                 Vitality::Silent | Vitality::Dead => {}
             }
         }
+        let entries = self.peers.entries(now);
+        let line = self.lines.get(key);
+        let own_rate = line.map_or(0.0, |l| l.waiting.rate(now));
+        let unheard = self.peers.interval().as_secs_f64();
         let settings = PlaceSettings {
-            entries: self.peers.entries(now),
+            entries,
+            // Callers choose entries at random, so the others have about as many.
+            arrivals: own_rate * entries as f64 * unheard,
             ..PlaceSettings::default()
         };
         let chosen = if candidates.is_empty() {
@@ -419,7 +438,7 @@
         } else {
             &candidates[..]
         };
-        choose_head(&settings, engine, pace, chosen, work, &mut self.rng)
+        choose_head(&settings, engine, pace, chosen, work, room, &mut self.rng)
     }
 
     /// Chooses an endpoint of a plain service.
@@ -459,17 +478,22 @@
         self.cold.entry(id.clone()).or_default().on_sent(now);
     }
 
-    /// Counts a request out at an endpoint.
-    pub(crate) fn on_done(&mut self, id: &Name) {
+    /// Counts a request out at an endpoint; `unread` is its prompt if no event came.
+    pub(crate) fn on_done(&mut self, id: &Name, unread: Option<u32>) {
         if let Some(load) = self.loads.get_mut(id) {
             load.requests = load.requests.saturating_sub(1);
+            match unread {
+                Some(unread) => load.unread = load.unread.saturating_sub(unread),
+                None => load.writing = load.writing.saturating_sub(1),
+            }
         }
     }
 
-    /// Takes the prompt of a request as read.
-    pub(crate) fn on_read(&mut self, id: &Name, unread: u32) {
+    /// Takes the first event of a request.
+    pub(crate) fn on_first_event(&mut self, id: &Name, unread: u32) {
         if let Some(load) = self.loads.get_mut(id) {
             load.unread = load.unread.saturating_sub(unread);
+            load.writing += 1;
         }
     }
 
@@ -496,6 +520,7 @@
         let fresh = || Line {
             waiting: WaitingLine::new(WaitingSettings::default()),
             wakers: HashMap::new(),
+            firsts: FirstTimes::default(),
         };
         self.lines.entry(key.clone()).or_insert_with(fresh)
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -252,7 +252,7 @@
 
 /// Returns the time in which every live peer makes itself heard.
 pub(crate) fn hearing_time(node: &Node) -> Duration {
-    node.state.borrow().peers.silence() / SILENT_INTERVALS
+    node.state.borrow().peers.interval()
 }
 
 /// Returns whether a peer was heard that is in touch with the store.
@@ -272,7 +272,10 @@
         }
         let interval = socket.interval();
         let silence = interval * SILENT_INTERVALS;
-        node.state.borrow_mut().peers.set_silence(silence);
+        node.state
+            .borrow_mut()
+            .peers
+            .set_interval(interval, silence);
         tokio::time::sleep(interval).await;
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -5,9 +5,10 @@
 //! passed on, within the one answer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, GroupState, Name, Placement, Turn};
+use bulrushhoist_fleet::{Endpoint, GroupState, Name, Placement, Room, Turn};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -36,6 +37,8 @@
     avoid: SmallVec<[Name; 4]>,
     /// Endpoints that may have run it.
     runs: u8,
+    /// Time spent in line.
+    waited: Duration,
     /// Endpoints that refused it without running it.
     refusals: u8,
     events: usize,
@@ -71,6 +74,7 @@
         Err(refusal) => Err((call, refusal)),
         Ok(Start::Whole(parts, body, endpoint)) => Ok(StreamAnswer::Whole(parts, body, endpoint)),
         Ok(Start::Events(parts, first, running)) => {
+            note_start(node, &call, &progress);
             let (pieces, receiver) = mpsc::channel(PIECES_WAITING);
             let endpoint = running.flight.endpoint.id.clone();
             let node = node.clone();
@@ -87,7 +91,7 @@
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let resumed = progress.runs + progress.refusals > 0;
-        let endpoint = match place(node, call, &progress.avoid, resumed).await {
+        let endpoint = match place(node, call, progress, resumed).await {
             Ok(endpoint) => endpoint,
             Err(reason) => return Err(if resumed { refusal } else { reason }),
         };
@@ -153,9 +157,10 @@
 async fn place(
     node: &Rc<Node>,
     call: &Call,
-    avoid: &[Name],
+    progress: &mut Progress,
     resumed: bool,
 ) -> Result<Endpoint, Refusal> {
+    let avoid = progress.avoid.clone();
     let model = call.model.clone().ok_or(Refusal::BadRequest)?;
     let key = (call.service.clone(), model);
     let since = node.now();
@@ -167,15 +172,24 @@
         }
         let waiter = {
             let mut state = node.state.borrow_mut();
-            let behind = !woken && !state.line(&key).waiting.is_empty();
+            let line = state.line(&key);
+            let first = line.firsts.usual();
+            let late = !resumed && now + first > call.objective();
+            // A punctual request needn't wait behind late ones.
+            let behind = !woken && line.waiting.has_before(now, first, late);
             let placed = match behind {
                 true => Placement::Full,
-                false => state.place(now, &node.settings.data_centre, &key, call.work, avoid),
+                false => {
+                    let room = if late { Room::Slack } else { Room::All };
+                    let centre = &node.settings.data_centre;
+                    state.place(now, centre, &key, call.work, room, &avoid)
+                }
             };
             match placed {
                 Placement::Head(id, _) => {
                     state.line(&key).waiting.on_start(now);
                     let found = state.roster.get(&id).cloned();
+                    progress.waited += now.since(since);
                     node.metrics.on_wait(now.since(since));
                     return found.ok_or(Refusal::NoEndpoint);
                 }
@@ -246,7 +260,8 @@
     if !state.has_retry(now, &call.service, &node.settings) {
         return false;
     }
-    let placed = state.place(now, &node.settings.data_centre, &key, call.work, avoid);
+    let centre = &node.settings.data_centre;
+    let placed = state.place(now, centre, &key, call.work, Room::All, avoid);
     matches!(placed, Placement::Head(..))
 }
 
@@ -259,6 +274,7 @@
 ) -> Result<Start, Failed> {
     progress.splitter.drop_torn();
     let patience = patience(call, progress);
+    let sent = node.now();
     let mut flight = Flight::start(node, endpoint, call.work.prompt);
     let endpoint = &flight.endpoint;
     let last = progress.splitter.last_id();
@@ -279,6 +295,7 @@
     match next_events(node, call, &flight, &mut body, progress).await {
         Ok(Some(events)) => {
             flight.on_first_event();
+            note_first(node, call, node.now().since(sent));
             let running = Box::new(Running { flight, link, body });
             Ok(Start::Events(parts, events, running))
         }
@@ -294,6 +311,20 @@
     }
 }
 
+fn note_start(node: &Node, call: &Call, progress: &Progress) {
+    let endpoint = progress.avoid.last().map_or("", |id| id);
+    info!(node.log, "stream started"; "request" => call.id_text(), "endpoint" => endpoint, "waited_ms" => progress.waited.as_millis() as u64, "runs" => progress.runs, "refusals" => progress.refusals);
+}
+
+/// Takes how long the first event of a call took.
+fn note_first(node: &Node, call: &Call, took: Duration) {
+    if let Some(model) = &call.model {
+        let key = (call.service.clone(), model.clone());
+        let mut state = node.state.borrow_mut();
+        state.line(&key).firsts.on_first(took);
+    }
+}
+
 /// Notes why a stream can't go on at its head.
 fn on_broken(node: &Node, call: &Call, flight: &Flight, failed: Failed) -> Failed {
     let endpoint = &flight.endpoint;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,10 +27,10 @@
 pub use endpoint::{Endpoint, EndpointPhase, GroupState, Membership};
 pub use monitor::{Monitor, MonitorSettings, Vitality};
 pub use orders::{Order, OrderAnswer, OrderKind};
-pub use pace::{Batch, Work, first_token, longest_pass, step_time};
+pub use pace::{Batch, FirstTimes, Work, first_token, longest_pass, step_time};
 pub use peers::{HeadLoad, Peer, PeerBook, PeerNews, PeerSettings, SlowHead, Suspicion};
 pub use place::{
-    COLD_DOUBT, Candidate, ColdAllowance, PlaceSettings, Placement, choose_head, cold_doubt,
+    COLD_DOUBT, Candidate, ColdAllowance, PlaceSettings, Placement, Room, choose_head, cold_doubt,
 };
 pub use plan::{GroupPlan, MemberPlan, Plan};
 pub use planner::{GroupSettings, LoadLimits, Planner, Step, VmView, survey};
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -22,6 +22,36 @@
     pub unread: f64,
 }
 
+/// How soon the first event of a request comes where it needn't wait long, as it was
+/// seen. The published pace leaves out what every request waits for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstTimes {
+    low: Option<Duration>,
+}
+
+/// Weight of an observation below the estimate.
+const FASTER: f64 = 0.09;
+/// Weight of one above it: so the estimate is near the lowest tenth, and long waits
+/// don't make every request look late.
+const SLOWER: f64 = 0.01;
+
+impl FirstTimes {
+    /// Takes one observation.
+    pub fn on_first(&mut self, took: Duration) {
+        let low = self.low.unwrap_or(took);
+        let weight = if took < low { FASTER } else { SLOWER };
+        // A step above is of fixed size, so that one long wait counts as any other.
+        let towards = if took < low { took } else { took.min(low * 2) };
+        self.low = Some(low.mul_f64(1.0 - weight) + towards.mul_f64(weight));
+    }
+
+    /// Returns the time; zero before the first observation.
+    #[must_use]
+    pub fn usual(&self) -> Duration {
+        self.low.unwrap_or_default()
+    }
+}
+
 /// Returns the time of one token step with this many writing requests.
 #[must_use]
 pub fn step_time(engine: &Engine, pace: f64, writers: f64) -> Duration {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -16,6 +16,8 @@
 /// Bounds on how long a message counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerSettings {
+    /// Time between two messages of a peer.
+    pub interval: Duration,
     /// Silence after which a peer isn't named to callers any more.
     pub silence: Duration,
     /// Silence after which its requests at endpoints can't go on.
@@ -25,6 +27,7 @@
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
+            interval: Duration::from_millis(200),
             silence: Duration::from_millis(1_100),
             forget: Duration::from_secs(10),
         }
@@ -115,15 +118,17 @@
         }
     }
 
-    /// Sets the silence after which a peer isn't named to callers any more.
-    pub fn set_silence(&mut self, silence: Duration) {
+    /// Sets the time between two messages of a peer, and the silence after which a
+    /// peer isn't named to callers any more.
+    pub fn set_interval(&mut self, interval: Duration, silence: Duration) {
+        self.settings.interval = interval;
         self.settings.silence = silence;
     }
 
-    /// Returns the silence after which a peer isn't named to callers any more.
+    /// Returns the time between two messages of a peer.
     #[must_use]
-    pub const fn silence(&self) -> Duration {
-        self.settings.silence
+    pub const fn interval(&self) -> Duration {
+        self.settings.interval
     }
 
     /// Takes a message. Returns whether it is newer than the last one.
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -15,6 +15,28 @@
 use crate::pace::{Batch, Work, first_token, step_time};
 use crate::roster::RosterChange;
 
+/// How many of a head's places a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// All of them.
+    All,
+    /// Those that are left over: a request that is late anyway must not make others
+    /// late.
+    Slack,
+}
+
+impl Room {
+    const fn part(self) -> f64 {
+        match self {
+            Self::All => 1.0,
+            Self::Slack => SLACK_PART,
+        }
+    }
+}
+
+/// Part of a head's places that late requests may fill up.
+const SLACK_PART: f64 = 0.75;
+
 /// Weights of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSettings {
@@ -23,6 +45,9 @@
     pub most: usize,
     /// Entries that share the view.
     pub entries: usize,
+    /// Requests that all entries send to the heads until each has heard the others
+    /// again.
+    pub arrivals: f64,
     /// Part of a head's places that is left free for what the other entries sent since
     /// their last message, for each entry under a square root: their errors add up so.
     pub margin: f64,
@@ -39,6 +64,7 @@
         Self {
             most: 84,
             entries: 7,
+            arrivals: 0.0,
             margin: 0.015,
             blur: 0.12,
             tokens: 20,
@@ -86,15 +112,22 @@
     pace: f64,
     candidates: &[Candidate],
     work: Work,
+    room: Room,
     rng: &mut impl Rng,
 ) -> Placement {
     if candidates.is_empty() {
         return Placement::Nowhere;
     }
     let margin = settings.margin * (settings.entries as f64).sqrt();
-    let slots = f64::from(engine.slots) * (1.0 - margin);
+    let slots = f64::from(engine.slots) * (1.0 - margin) * room.part();
     let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
     let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
+    if !open.is_empty() && settings.arrivals / open.len() as f64 > BLIND_ARRIVALS {
+        let head = fill_up(settings.arrivals, &mut open, rng);
+        let pace = pace * head.slowness;
+        let first = first_token(engine, pace, head.batch, work);
+        return Placement::Head(head.id.clone(), first);
+    }
     let compared = (settings.most / settings.entries.max(1)).clamp(LEAST_COMPARED, MOST_COMPARED);
     let looked_at = compared.min(open.len());
     for i in 0..looked_at {
@@ -125,6 +158,48 @@
     }
 }
 
+/// Requests to one head between two messages of a peer from which on the least loaded
+/// head of the view is no longer the least loaded: many entries would send to it.
+const BLIND_ARRIVALS: f64 = 4.0;
+/// Heads that are looked at where the view is old.
+const MOST_FILLED: usize = 48;
+
+/// Chooses at random, so that what all entries send until they hear each other again
+/// fills the heads up to one level.
+fn fill_up<'c>(
+    arrivals: f64,
+    open: &mut SmallVec<[&'c Candidate; 16]>,
+    rng: &mut impl Rng,
+) -> &'c Candidate {
+    let all = open.len();
+    while open.len() > MOST_FILLED {
+        open.swap_remove(rng.random_range(0..open.len()));
+    }
+    let arrivals = arrivals * open.len() as f64 / all as f64;
+    let load = |c: &Candidate| c.batch.requests * c.slowness;
+    open.sort_unstable_by(|a, b| load(a).total_cmp(&load(b)));
+    // A slow head carries less: its capacity is a part of a sound one's.
+    let (mut requests, mut capacity, mut level) = (arrivals, 0.0, f64::INFINITY);
+    for head in open.iter() {
+        if load(head) >= level {
+            break;
+        }
+        requests += head.batch.requests;
+        capacity += 1.0 / head.slowness;
+        level = requests / capacity;
+    }
+    let room = |c: &Candidate| (level / c.slowness - c.batch.requests).max(0.0);
+    let total: f64 = open.iter().map(|c| room(c)).sum();
+    let mut draw = rng.random_range(0.0..1.0) * total;
+    for head in open.iter() {
+        draw -= room(head);
+        if draw < 0.0 {
+            return head;
+        }
+    }
+    open[0]
+}
+
 /// Requests per second to one cold endpoint, as this entry's part.
 #[derive(Clone, Debug, Default)]
 pub struct ColdAllowance {
--- a/crates/fleet/src/waiting.rs
+++ b/crates/fleet/src/waiting.rs
@@ -2,7 +2,9 @@
 //!
 //! Answers a load beyond the heads' capacity: work that can still be answered on
 //! time goes first, by urgency and then by the end of its objective; work that is
-//! late anyway follows when nothing else waits. What can't start before it is
+//! late anyway follows when nothing else waits, and only into places that are left
+//! over: many entries have lines of their own, and one's late work must not take the
+//! place that another's punctual work needs. What can't start before it is
 //! useless is turned away as soon as that is known, with the time at which the
 //! line is expected to be shorter.
 
@@ -10,6 +12,8 @@
 
 use bulrushhoist_core::Time;
 
+use crate::place::Room;
+
 /// Bounds of a line.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitingSettings {
@@ -44,6 +48,12 @@
 }
 
 impl Turn {
+    /// Returns whether the first event comes too late if the request starts now.
+    #[must_use]
+    pub fn is_late(&self, now: Time, first: Duration) -> bool {
+        now + first > self.objective
+    }
+
     fn give_up(&self, patience: f64) -> Time {
         self.since + self.deadline.since(self.since).mul_f64(patience)
     }
@@ -97,9 +107,15 @@
     /// Returns how long a request at this place of the line is expected to wait.
     #[must_use]
     pub fn expected_wait(&self, now: Time, ahead: usize) -> Duration {
+        let least = 1.0 / RATE_WINDOW.as_secs_f64();
+        Duration::from_secs_f64(ahead as f64 / self.rate(now).max(least))
+    }
+
+    /// Returns how many requests started per second a moment ago.
+    #[must_use]
+    pub fn rate(&self, now: Time) -> f64 {
         let recent = self.starts.iter().filter(|t| now.since(**t) <= RATE_WINDOW);
-        let rate = recent.count().max(1) as f64 / RATE_WINDOW.as_secs_f64();
-        Duration::from_secs_f64(ahead as f64 / rate)
+        recent.count() as f64 / RATE_WINDOW.as_secs_f64()
     }
 
     /// Lets a request wait, or returns when its caller should come back.
@@ -122,11 +138,26 @@
         Ok(())
     }
 
+    /// Returns the room that the next request may use: once even the most punctual
+    /// one is late, only what is left over.
+    #[must_use]
+    pub fn next_room(&self, now: Time, first: Duration) -> Room {
+        let punctual = self.turns.iter().any(|t| !t.is_late(now, first));
+        if punctual { Room::All } else { Room::Slack }
+    }
+
+    /// Returns whether a request waits that goes before a newcomer, punctual or late.
+    #[must_use]
+    pub fn has_before(&self, now: Time, first: Duration, late: bool) -> bool {
+        let mut turns = self.turns.iter();
+        turns.any(|t| late || !t.is_late(now, first))
+    }
+
     /// Takes the next request out of the line. `first` is the expected time from
     /// its start to its first event.
     pub fn next(&mut self, now: Time, first: Duration) -> Option<Turn> {
         let order = |t: &Turn| {
-            let late = now + first > t.objective;
+            let late = t.is_late(now, first);
             let end = if late { t.deadline } else { t.objective };
             (late, t.urgency, end)
         };
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bulrushhoist_fleet::{
-    Batch, Candidate, ColdAllowance, PlaceSettings, Placement, PlainChoice, PlainLoad, Turn,
-    WaitingLine, WaitingSettings, Work, choose_head, choose_plain, longest_pass,
+    Batch, COLD_DOUBT, Candidate, ColdAllowance, FirstTimes, PlaceSettings, Placement, PlainChoice,
+    PlainLoad, Room, RosterChange, Turn, WaitingLine, WaitingSettings, Work, choose_head,
+    choose_plain, cold_doubt, longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -37,6 +38,7 @@
         1.0,
         candidates,
         work,
+        Room::All,
         &mut rng,
     )
 }
@@ -205,3 +207,86 @@
         PlainChoice::Nowhere
     );
 }
+
+#[test]
+fn with_an_old_view_heads_fill_up_to_one_level() {
+    // 65 entries send 144 requests before they hear of each other's.
+    let loads = [12.0, 16.0, 20.0, 20.0, 20.0, 24.0, 28.0];
+    let heads = loads.iter().enumerate();
+    let heads: Vec<Candidate> = heads
+        .map(|(i, load)| candidate(&format!("h{i}"), *load))
+        .collect();
+    let settings = PlaceSettings {
+        entries: 65,
+        arrivals: 84.0,
+        margin: 0.0,
+        ..PlaceSettings::default()
+    };
+    let mut engine = engine();
+    engine.slots = 64;
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut after = loads;
+    for _ in 0..84 {
+        let work = Work::default();
+        let placed = choose_head(&settings, &engine, 1.0, &heads, work, Room::All, &mut rng);
+        let Placement::Head(id, _) = placed else {
+            panic!("there is room");
+        };
+        after[id[1..].parse::<usize>().unwrap()] += 1.0;
+    }
+    // The least loaded of two random heads leaves 12 + 24 on the first and 28 + 3 on
+    // the last; the level is 32.
+    assert!(
+        after.iter().all(|load| (22.0..43.0).contains(load)),
+        "{after:?}"
+    );
+    assert!(after[0] - after[6] < 8.0, "{after:?}");
+}
+
+#[test]
+fn late_requests_leave_places_for_punctual_ones() {
+    let mut line = WaitingLine::new(WaitingSettings::default());
+    line.join(ms(0), turn(1, 0, 300, 6_000)).unwrap();
+    let first = Duration::from_millis(150);
+    assert_eq!(line.next_room(ms(100), first), Room::All);
+    assert_eq!(line.next_room(ms(200), first), Room::Slack);
+    assert!(!line.has_before(ms(200), first, false));
+    assert!(line.has_before(ms(200), first, true));
+    let seven = [candidate("busy", 7.0)];
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut choose = |room| {
+        let settings = PlaceSettings::default();
+        choose_head(
+            &settings,
+            &engine(),
+            1.0,
+            &seven,
+            Work::default(),
+            room,
+            &mut rng,
+        )
+    };
+    assert!(matches!(choose(Room::All), Placement::Head(..)));
+    assert_eq!(choose(Room::Slack), Placement::Full);
+}
+
+#[test]
+fn long_waits_dont_make_every_request_look_late() {
+    let mut firsts = FirstTimes::default();
+    for i in 0..1_000 {
+        let took = if i % 4 == 0 { 170 } else { 900 };
+        firsts.on_first(Duration::from_millis(took));
+    }
+    let usual = firsts.usual();
+    assert!(usual < Duration::from_millis(300), "{usual:?}");
+}
+
+#[test]
+fn an_entry_that_starts_takes_only_young_endpoints_for_cold() {
+    let now = 1_000_000;
+    let doubt = |change, age: u64| cold_doubt(change, now - age, now);
+    assert_eq!(doubt(RosterChange::Added, 60_000), Duration::ZERO);
+    assert_eq!(doubt(RosterChange::Added, 1_000), COLD_DOUBT);
+    assert_eq!(doubt(RosterChange::Reborn, 60_000), COLD_DOUBT);
+    assert_eq!(doubt(RosterChange::Updated, 1_000), Duration::ZERO);
+}
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -222,3 +222,16 @@
     assert_eq!(plan.wanted["small"], 3);
     assert!(serving(&plan).iter().all(|g| domains(g) == 1), "{plan:#?}");
 }
+
+#[test]
+fn a_slow_member_is_replaced_by_a_sound_spare_of_its_domain_only() {
+    for (spare, replaced) in [("a5", true), ("b1", false)] {
+        let mut fleet = Fleet::new();
+        fleet.group("large", &["a1", "a2", "a3", "a4"]);
+        fleet.spare("large", spare);
+        fleet.monitor.on_pace(ms(NOW_MS), &"a2".into(), 1, 5.0);
+        let plan = fleet.step(ms(NOW_MS));
+        assert_eq!(serving(&plan)[0].has(spare), replaced, "{spare}");
+        assert_eq!(!serving(&plan)[0].has("a2"), replaced, "{spare}");
+    }
+}
