--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -161,8 +161,13 @@
 }
 
 fn on_link_error(node: &Node, endpoint: &Endpoint, error: &LinkError) -> Failed {
-    node.links.drop_endpoint(&endpoint.id);
-    node.suspect(&endpoint.id, endpoint.born, &error.to_string());
+    let cause = error.to_string();
+    if error.is_unsent() {
+        node.links.drop_endpoint(&endpoint.id);
+        node.suspect(&endpoint.id, endpoint.born, &cause);
+    } else {
+        node.on_broken(&endpoint.id, endpoint.born, &cause);
+    }
     if error.is_refused() {
         let now = node.now();
         let mut state = node.state.borrow_mut();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -211,6 +211,22 @@
         }
     }
 
+    /// Takes notice of a connection to an endpoint that broke under a request.
+    pub(crate) fn on_broken(&self, endpoint: &Name, born: u64, cause: &str) {
+        let now = self.now();
+        let new = self
+            .state
+            .borrow_mut()
+            .monitor
+            .on_broken(now, endpoint, born);
+        if new {
+            let mut state = self.state.borrow_mut();
+            state.suspicions.insert(endpoint.clone(), (born, now));
+            info!(self.log, "endpoint suspected"; "endpoint" => &**endpoint, "born" => born, "cause" => cause);
+            self.planner_wake.notify_one();
+        }
+    }
+
     /// Takes a sign of life of an endpoint.
     pub(crate) fn on_life(&self, endpoint: &Name, born: u64) {
         let now = self.now();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -330,7 +330,7 @@
     let endpoint = &flight.endpoint;
     match failed {
         Failed::MayHaveRun(RetryCause::Broken) => {
-            node.suspect(&endpoint.id, endpoint.born, "stream broke");
+            node.on_broken(&endpoint.id, endpoint.born, "streams broke");
             let now = node.now();
             let mut state = node.state.borrow_mut();
             // A head that was told to leave its group breaks streams off, too.
--- a/crates/fleet/src/monitor.rs
+++ b/crates/fleet/src/monitor.rs
@@ -52,6 +52,8 @@
     refused: u32,
     /// Factor by which it reported to be slower than published, and when.
     slowness: Option<(f64, Time)>,
+    /// When a connection to it broke last, without a sign of life since.
+    broken: Option<Time>,
 }
 
 /// Refused connections in a row that show an incarnation to have ended.
@@ -60,6 +62,9 @@
 /// Time for which a report of an endpoint's pace counts.
 const PACE_KEPT: Duration = Duration::from_secs(3);
 
+/// Time within which two connections must break, with nothing heard between.
+const BROKEN_AGAIN: Duration = Duration::from_millis(400);
+
 /// Signs for and against every endpoint.
 #[derive(Debug, Default)]
 pub struct Monitor {
@@ -129,6 +134,14 @@
         new
     }
 
+    /// Takes a connection that broke under a request. An answer may be lost at a sound
+    /// endpoint, so only a second one counts as a failure. Returns whether that is new.
+    pub fn on_broken(&mut self, now: Time, id: &Name, born: u64) -> bool {
+        let before = self.signs(id, born).broken.replace(now);
+        let again = before.is_some_and(|t| now.since(t) < BROKEN_AGAIN);
+        again && self.on_failure(now, id, born)
+    }
+
     /// Takes a connection that was refused.
     pub fn on_refused(&mut self, now: Time, id: &Name, born: u64) {
         let signs = self.signs(id, born);
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bulrushhoist_fleet::{
-    Batch, COLD_DOUBT, Candidate, ColdAllowance, FirstTimes, PlaceSettings, Placement, PlainChoice,
-    PlainLoad, Room, RosterChange, Turn, WaitingLine, WaitingSettings, Work, choose_head,
-    choose_plain, cold_doubt, longest_pass,
+    Batch, COLD_DOUBT, Candidate, ColdAllowance, FirstTimes, Monitor, MonitorSettings, Name,
+    PlaceSettings, Placement, PlainChoice, PlainLoad, Room, RosterChange, Turn, Vitality,
+    WaitingLine, WaitingSettings, Work, choose_head, choose_plain, cold_doubt, longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -290,3 +290,15 @@
     assert_eq!(doubt(RosterChange::Reborn, 60_000), COLD_DOUBT);
     assert_eq!(doubt(RosterChange::Updated, 1_000), Duration::ZERO);
 }
+
+#[test]
+fn one_lost_answer_doesnt_make_an_endpoint_suspect() {
+    let mut monitor = Monitor::new(MonitorSettings::default());
+    let id = Name::from("head");
+    assert!(!monitor.on_broken(ms(0), &id, 1));
+    assert_eq!(monitor.vitality(ms(0), &id, 1), Vitality::Alive);
+    monitor.on_life(&id, 1);
+    assert!(!monitor.on_broken(ms(100), &id, 1), "it wrote in between");
+    assert!(monitor.on_broken(ms(200), &id, 1));
+    assert_eq!(monitor.vitality(ms(200), &id, 1), Vitality::Suspect);
+}
