--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -91,6 +91,8 @@
     pub(crate) roster: Roster,
     pub(crate) monitor: Monitor,
     pub(crate) peers: PeerBook,
+    /// Entries that the store names beside this one, alive or not.
+    pub(crate) recorded: usize,
     pub(crate) loads: HashMap<Name, OwnLoad>,
     pub(crate) cold: HashMap<Name, ColdAllowance>,
     pub(crate) lines: HashMap<ModelKey, Line>,
@@ -151,6 +153,7 @@
             roster: Roster::default(),
             monitor: Monitor::new(MonitorSettings::default()),
             peers: PeerBook::new(PeerSettings::default()),
+            recorded: 0,
             loads: HashMap::new(),
             cold: HashMap::new(),
             lines: HashMap::new(),
@@ -392,8 +395,32 @@
         self.monitor.vitality(now, &endpoint.id, endpoint.born)
     }
 
+    /// Returns the number of entries that may have work at endpoints. One that has just
+    /// started hasn't heard most of them yet.
+    fn entries(&self, now: Time) -> usize {
+        let heard = self.peers.entries(now);
+        match now < Time::ZERO + PEERS_UNHEARD {
+            true => heard.max(1 + self.recorded),
+            false => heard,
+        }
+    }
+
+    /// Returns whether this entry has used up its part of a model's places while it
+    /// doesn't know what the others have in flight: after a restart of all of them each
+    /// sees empty heads.
+    fn is_part_used(&self, now: Time, engine: &Engine, heads: &[Candidate]) -> bool {
+        let entries = self.entries(now);
+        if entries <= self.peers.entries(now) {
+            return false;
+        }
+        let own = heads.iter().filter_map(|c| self.loads.get(&c.id));
+        let own: u32 = own.map(|l| l.requests).sum();
+        let places = heads.len() as f64 * f64::from(engine.slots);
+        f64::from(own) >= (places / entries as f64).ceil()
+    }
+
     fn has_cold_room(&self, now: Time, id: &Name, per_s: f64) -> bool {
-        let entries = self.peers.entries(now);
+        let entries = self.entries(now);
         let room = |a: &ColdAllowance| a.has_room(now, per_s * COLD_PART, entries);
         per_s <= 0.0 || self.cold.get(id).is_none_or(room)
     }
@@ -439,7 +466,7 @@
                 Vitality::Silent | Vitality::Dead => {}
             }
         }
-        let entries = self.peers.entries(now);
+        let entries = self.entries(now);
         let line = self.lines.get(key);
         let own_rate = line.map_or(0.0, |l| l.waiting.rate(now));
         let unheard = self.peers.interval().as_secs_f64();
@@ -454,6 +481,9 @@
         } else {
             &candidates[..]
         };
+        if self.is_part_used(now, engine, chosen) {
+            return Placement::Full;
+        }
         choose_head(&settings, engine, pace, chosen, work, room, &mut self.rng)
     }
 
@@ -515,13 +545,13 @@
 
     /// Takes one retry to a service out of the budget.
     pub(crate) fn take_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
-        let entries = self.peers.entries(now);
+        let entries = self.entries(now);
         self.budget(service, settings).take_retry(now, entries)
     }
 
     /// Returns whether a retry to a service is left in the budget.
     pub(crate) fn has_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
-        let entries = self.peers.entries(now);
+        let entries = self.entries(now);
         self.budget(service, settings).has_retry(now, entries)
     }
 
@@ -548,6 +578,9 @@
     }
 }
 
+/// Time after its start in which an entry may not have heard all others.
+const PEERS_UNHEARD: Duration = Duration::from_millis(1_500);
+
 /// Part of a cold endpoint's rate that is used: entries that join or restart
 /// aren't counted among the sharers yet.
 const COLD_PART: f64 = 1.2;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -160,13 +160,14 @@
         })
     }
 
-    /// Takes the address of another entry, or its removal.
-    pub(crate) fn set_peer(&self, node: Name, address: Option<SocketAddr>) {
+    /// Takes the address of another entry, or its removal. Returns how many there are.
+    pub(crate) fn set_peer(&self, node: Name, address: Option<SocketAddr>) -> usize {
         let mut addresses = self.addresses.borrow_mut();
         match address {
             Some(address) => addresses.insert(node, address),
             None => addresses.remove(&node),
         };
+        addresses.len()
     }
 
     /// Returns where a peer takes datagrams; its relay has the same address.
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -321,7 +321,7 @@
         (ObjectKind::Evacuations, Change::Put(object)) => evacuate(node, &object.name, true),
         (ObjectKind::Evacuations, Change::Removed(name)) => evacuate(node, &name, false),
         (ObjectKind::Entries, Change::Put(object)) => take_entry(node, socket, &object),
-        (ObjectKind::Entries, Change::Removed(name)) => socket.set_peer(name.into(), None),
+        (ObjectKind::Entries, Change::Removed(name)) => set_peer(node, socket, &name, None),
         (ObjectKind::Plans, _) => {}
     }
 }
@@ -411,12 +411,16 @@
     }
 }
 
+fn set_peer(node: &Node, socket: &PeerSocket, name: &str, address: Option<SocketAddr>) {
+    node.state.borrow_mut().recorded = socket.set_peer(name.into(), address);
+}
+
 fn take_entry(node: &Node, socket: &PeerSocket, object: &StoredObject) {
     if object.name == *node.settings.node {
         return;
     }
     match serde_json::from_slice::<EntryRecord>(&object.body) {
-        Ok(record) => socket.set_peer(object.name.as_str().into(), Some(record.peers)),
+        Ok(record) => set_peer(node, socket, &object.name, Some(record.peers)),
         Err(error) => {
             warn!(node.log, "entry record not usable"; "entry" => &object.name, "cause" => %error);
         }
