--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::QuarantineVerdict;
-use bulrushhoist_fleet::CallKind;
+use bulrushhoist_fleet::{CallKind, RETURN_LEAST};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::http::response::Parts;
@@ -174,6 +174,7 @@
 struct About {
     route: bulrushhoist_fleet::Name,
     service: bulrushhoist_fleet::Name,
+    model: Option<bulrushhoist_fleet::Name>,
     version: u64,
 }
 
@@ -189,6 +190,7 @@
         About {
             route: call.route.name.clone(),
             service: call.service.clone(),
+            model: call.model.clone(),
             version: state.catalog.version,
         }
     };
@@ -260,8 +262,6 @@
 
 /// Least time after which a refused caller should come back, in seconds.
 const COME_BACK_S: f64 = 0.15;
-/// Span over which refused callers are spread, in seconds.
-const COME_BACK_SPREAD_S: f64 = 0.5;
 
 fn refuse(
     node: &Node,
@@ -272,7 +272,9 @@
 ) -> Response<AnswerBody> {
     let status = refusal.status();
     node.metrics.on_refusal(refusal);
-    let held = node.now().since(received).as_millis() as u64;
+    let line = about.and_then(|a| Some((a.service.clone(), a.model.clone()?)));
+    let now = node.now();
+    let held = now.since(received).as_millis() as u64;
     let version = about.map(|a| a.version);
     let service = about.map(|a| a.service.to_string());
     let route = about.map(|a| a.route.to_string());
@@ -283,12 +285,11 @@
     if refusal == Refusal::Stopping {
         headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
     } else if status == StatusCode::SERVICE_UNAVAILABLE {
-        let spread = node
-            .state
-            .borrow_mut()
-            .rng
-            .random_range(0.0..COME_BACK_SPREAD_S);
-        let seconds = format!("{:.2}", COME_BACK_S + spread);
+        let mut state = node.state.borrow_mut();
+        let span = line.and_then(|key| Some(state.lines.get(&key)?.waiting.return_span(now)));
+        let span = span.unwrap_or(RETURN_LEAST).as_secs_f64();
+        let seconds = format!("{:.2}", COME_BACK_S + state.rng.random_range(0.0..span));
+        drop(state);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, value);
         }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -74,7 +74,6 @@
         Err(refusal) => Err((call, refusal)),
         Ok(Start::Whole(parts, body, endpoint)) => Ok(StreamAnswer::Whole(parts, body, endpoint)),
         Ok(Start::Events(parts, first, running)) => {
-            note_start(node, &call, &progress);
             let (pieces, receiver) = mpsc::channel(PIECES_WAITING);
             let endpoint = running.flight.endpoint.id.clone();
             let node = node.clone();
@@ -311,11 +310,6 @@
     }
 }
 
-fn note_start(node: &Node, call: &Call, progress: &Progress) {
-    let endpoint = progress.avoid.last().map_or("", |id| id);
-    info!(node.log, "stream started"; "request" => call.id_text(), "endpoint" => endpoint, "waited_ms" => progress.waited.as_millis() as u64, "runs" => progress.runs, "refusals" => progress.refusals);
-}
-
 /// Takes how long the first event of a call took.
 fn note_first(node: &Node, call: &Call, took: Duration) {
     if let Some(model) = &call.model {
@@ -466,5 +460,5 @@
             }
         }
     };
-    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "runs" => progress.runs + 1, "took_ms" => node.now().since(call.received).as_millis() as u64);
+    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "runs" => progress.runs + 1, "waited_ms" => progress.waited.as_millis() as u64, "took_ms" => node.now().since(call.received).as_millis() as u64);
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use planner::{GroupSettings, LoadLimits, Planner, Step, VmView, survey};
 pub use pool::{PlainChoice, PlainLoad, choose_plain};
 pub use roster::{Roster, RosterChange};
-pub use waiting::{Turn, WaitingLine, WaitingSettings};
+pub use waiting::{RETURN_LEAST, Turn, WaitingLine, WaitingSettings};
 
 /// A name that is shared by many records.
 pub type Name = std::sync::Arc<str>;
--- a/crates/fleet/src/waiting.rs
+++ b/crates/fleet/src/waiting.rs
@@ -62,6 +62,11 @@
 /// Starts that are remembered to tell how fast the line moves.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 
+/// Least span over which refused callers come back.
+pub const RETURN_LEAST: Duration = Duration::from_millis(500);
+/// Longest one: callers follow it for a third of the time that they have left.
+const RETURN_MOST: Duration = Duration::from_secs(2);
+
 /// Requests that wait for a head of one model.
 #[derive(Debug, Default)]
 pub struct WaitingLine {
@@ -118,6 +123,14 @@
         recent.count() as f64 / RATE_WINDOW.as_secs_f64()
     }
 
+    /// Returns the span over which refused callers should come back: as long as the
+    /// line takes to empty, so that the service can carry those who return.
+    #[must_use]
+    pub fn return_span(&self, now: Time) -> Duration {
+        self.expected_wait(now, self.turns.len())
+            .clamp(RETURN_LEAST, RETURN_MOST)
+    }
+
     /// Lets a request wait, or returns when its caller should come back.
     ///
     /// # Errors
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -6,8 +6,9 @@
 
 use bulrushhoist_fleet::{
     Batch, COLD_DOUBT, Candidate, ColdAllowance, FirstTimes, Monitor, MonitorSettings, Name,
-    PlaceSettings, Placement, PlainChoice, PlainLoad, Room, RosterChange, Turn, Vitality,
-    WaitingLine, WaitingSettings, Work, choose_head, choose_plain, cold_doubt, longest_pass,
+    PlaceSettings, Placement, PlainChoice, PlainLoad, RETURN_LEAST, Room, RosterChange, Turn,
+    Vitality, WaitingLine, WaitingSettings, Work, choose_head, choose_plain, cold_doubt,
+    longest_pass,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -302,3 +303,20 @@
     assert!(monitor.on_broken(ms(200), &id, 1));
     assert_eq!(monitor.vitality(ms(200), &id, 1), Vitality::Suspect);
 }
+
+#[test]
+fn refused_callers_come_back_over_the_time_that_the_line_takes() {
+    let mut line = WaitingLine::new(WaitingSettings::default());
+    assert_eq!(line.return_span(ms(0)), RETURN_LEAST);
+    for i in 0..20 {
+        line.on_start(ms(i * 100));
+    }
+    for id in 0..13 {
+        line.join(ms(2_000), turn(id, 2_000, 2_300, 8_000)).unwrap();
+    }
+    let span = line.return_span(ms(2_000));
+    assert!(
+        span > Duration::from_millis(1_250) && span < Duration::from_millis(1_400),
+        "13 requests, 10 a second: {span:?}"
+    );
+}
