Probe VMs that were lost and are still recorded; no orders to VMs without a record

Change: recorded VMs that are lost are probed once a second; a VM without a record is in the planner's view only as a member of a planned group.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -290,6 +290,16 @@
         let mut probed = self.probed.borrow_mut();
         probed.retain(|id, _| state.roster.get_any(id).is_some());
         let mut due = Vec::new();
+        // A VM that was lost and answers again has to leave its old group.
+        for endpoint in state.roster.iter().filter(|e| e.membership.is_some()) {
+            let vitality = state.monitor.vitality(now, &endpoint.id, endpoint.born);
+            let lost = matches!(vitality, Vitality::Silent | Vitality::Dead);
+            let last = probed.get(&endpoint.id);
+            if lost && last.is_none_or(|t| now.since(*t) >= PROBE_INTERVAL) {
+                probed.insert(endpoint.id.clone(), now);
+                due.push(endpoint.clone());
+            }
+        }
         for group in &plan.groups {
             let members = group.members.iter();
             let members = members.filter_map(|m| state.roster.get_any(&m.id));
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -169,6 +169,8 @@
             return Step::Orders(Vec::new());
         };
         let own = views.iter().filter(|v| v.endpoint.service == service.name);
+        // A VM without a record matters only as a member: nobody else needs orders.
+        let own = own.filter(|v| v.listed || plan.group_of(&v.endpoint.id).is_some());
         let vms: Vms<'_> = own.map(|v| (&*v.endpoint.id, *v)).collect();
         let epochs = vms.values().filter_map(VmView::membership).map(|m| m.epoch);
         if epochs.max().is_some_and(|newest| newest > plan.epoch) {
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -235,3 +235,25 @@
         assert_eq!(!serving(&plan)[0].has("a2"), replaced, "{spare}");
     }
 }
+
+#[test]
+fn a_vm_without_a_record_gets_no_orders_once_no_group_has_it() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "a3", "a4"]);
+    fleet.plan.wanted.insert("small".to_owned(), 1);
+    let mut gone = staged("a9", "large");
+    gone.membership = member("engines-0", 0, 0, GroupState::Open);
+    fleet.roster.put(gone);
+    fleet.roster.remove(ms(NOW_MS - 2_000), "a9");
+    let mut planner = Planner::new(GroupSettings::default());
+    let views = survey(ms(NOW_MS), "engines", &fleet.roster, &fleet.monitor);
+    let limits = LoadLimits {
+        in_traffic: true,
+        rate_part: 0.9,
+    };
+    let step = planner.step(ms(NOW_MS), &service(), &fleet.plan, &views, limits);
+    let Step::Orders(orders) = step else {
+        panic!("the plan needs no change: {step:?}");
+    };
+    assert!(orders.iter().all(|o| &*o.endpoint != "a9"), "{orders:?}");
+}
