--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod run;
 mod serve;
 mod settings;
+mod state;
 mod store;
 mod stream;
 mod sync;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,7 +13,8 @@
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 
-use crate::node::{Node, Phase};
+use crate::node::Node;
+use crate::state::Phase;
 
 /// Time between two messages to every peer, for a few peers.
 const INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -22,8 +22,9 @@
 
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
 use crate::link::{Link, LinkError};
-use crate::node::{Node, load_key};
+use crate::node::Node;
 use crate::peers;
+use crate::state::load_key;
 use crate::sync::watch_wait;
 
 /// Changes of one kind that are kept for followers.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,10 +12,11 @@
 
 use crate::dialect::{Dialect, ObjectKind};
 use crate::metrics::Metrics;
-use crate::node::{Node, Phase, STOP_MARGIN};
+use crate::node::{Node, STOP_MARGIN};
 use crate::peers::{self, PeerSocket};
 use crate::serve::{self, Port, Stop};
 use crate::settings::Settings;
+use crate::state::Phase;
 use crate::{groups, sync};
 
 /// Time between two looks at the lines and idle connections.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -24,8 +24,9 @@
 use crate::call::{self, Call, strip_connection_headers};
 use crate::dialect::OwnCall;
 use crate::directory;
-use crate::node::{Node, Phase};
+use crate::node::Node;
 use crate::outcome::Refusal;
+use crate::state::Phase;
 use crate::stream::StreamAnswer;
 use crate::{net, plain, stream};
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -22,8 +22,9 @@
 use crate::call::Call;
 use crate::events::{EventSplitter, Events};
 use crate::link::Link;
-use crate::node::{ModelKey, Node};
+use crate::node::Node;
 use crate::outcome::{Refusal, RetryCause};
+use crate::state::ModelKey;
 
 /// Pieces that may wait for a slow caller before the endpoint is read no further.
 const PIECES_WAITING: usize = 16;
@@ -214,7 +215,7 @@
 }
 
 fn join_line(
-    state: &mut crate::node::State,
+    state: &mut crate::state::State,
     now: Time,
     key: &ModelKey,
     call: &Call,
--- a/crates/fleet/tests/groups_world.rs
+++ b/crates/fleet/tests/groups_world.rs
@@ -5,17 +5,20 @@
 //! head serves only if every member was ready for that epoch.
 
 mod support;
+#[path = "groups_world/vm.rs"]
+mod vm;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Endpoint, EndpointPhase, GroupSettings, GroupState, LoadLimits, Membership, Monitor,
-    MonitorSettings, Name, Order, OrderAnswer, OrderKind, Plan, Planner, Roster, Step, survey,
+    EndpointPhase, GroupState, LoadLimits, Membership, Name, Order, OrderAnswer, OrderKind, Plan,
+    Step, survey,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use support::{endpoint, ms, service};
+use vm::{Entry, Vm};
 
 /// Length of one step of the world.
 const TICK_MS: u64 = 50;
@@ -26,36 +29,6 @@
 /// Time that a leaving VM goes on after its record is removed.
 const LINGER_MS: u64 = 2_500;
 
-/// What a VM really does.
-struct Vm {
-    record: Endpoint,
-    members: Vec<Name>,
-    alive: bool,
-    listening: bool,
-    /// When it was last able to write to the store.
-    beat: u64,
-    store_cut: bool,
-    /// When a leaving VM ends.
-    ends: Option<u64>,
-    highest: u64,
-    ready_at: u64,
-    last_model: Option<Name>,
-    /// Whether it still writes its record.
-    registers: bool,
-    /// The record in the store.
-    stored: Option<Endpoint>,
-}
-
-struct Entry {
-    roster: Roster,
-    monitor: Monitor,
-    planner: Planner,
-    plan: Option<(Plan, u64)>,
-    /// Until when this entry doesn't get on, as after a pause.
-    paused: u64,
-    seen: BTreeMap<Name, Endpoint>,
-}
-
 struct World {
     rng: SmallRng,
     now: u64,
@@ -444,51 +417,6 @@
     }
 }
 
-impl Vm {
-    fn new(record: Endpoint) -> Self {
-        Self {
-            record,
-            members: Vec::new(),
-            alive: true,
-            listening: true,
-            beat: 0,
-            store_cut: false,
-            ends: None,
-            highest: 0,
-            ready_at: 0,
-            last_model: None,
-            registers: true,
-            stored: None,
-        }
-    }
-
-    fn restart(&mut self) {
-        let mut record = self.record.clone();
-        record.born += 1;
-        record.phase = EndpointPhase::Ready;
-        record.membership = None;
-        record.model = None;
-        *self = Self {
-            beat: self.beat,
-            stored: self.stored.take(),
-            ..Self::new(record)
-        };
-    }
-}
-
-impl Entry {
-    fn new() -> Self {
-        Self {
-            roster: Roster::default(),
-            monitor: Monitor::new(MonitorSettings::default()),
-            planner: Planner::new(GroupSettings::default()),
-            plan: None,
-            paused: 0,
-            seen: BTreeMap::new(),
-        }
-    }
-}
-
 fn run(seed: u64) -> World {
     let mut world = World::new(seed);
     for _ in 0..TICKS {
