--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -71,24 +71,35 @@
         let mut state = node.state.borrow_mut();
         node.metrics.on_probe(fetched.is_ok());
         match fetched {
-            Ok((StatusCode::OK, body)) => {
-                // An answer shows that the VM lives; whether a stalled head
-                // writes again is seen from its streams.
-                state.monitor.on_probe_answer(&endpoint.id, endpoint.born);
-                let figures = node.dialect.report(&body);
-                match &figures {
-                    Ok(figures) => {
-                        state
-                            .monitor
-                            .on_pace(now, &endpoint.id, endpoint.born, figures.slowness)
-                    }
-                    Err(error) => {
-                        info!(node.log, "report not usable"; "endpoint" => &*endpoint.id, "cause" => %error);
-                    }
+            Ok((StatusCode::OK, body)) => match node.dialect.report(&body) {
+                Ok(figures) if figures.born.is_some_and(|born| born != endpoint.born) => {
+                    state.monitor.on_replaced(now, &endpoint.id, endpoint.born);
+                    info!(node.log, "endpoint replaced"; "endpoint" => &*endpoint.id, "born" => endpoint.born, "now_born" => figures.born);
+                    None
                 }
-                figures.ok()
+                Ok(figures) => {
+                    // An answer shows that the VM lives; whether a stalled head
+                    // writes again is seen from its streams.
+                    let monitor = &mut state.monitor;
+                    monitor.on_probe_answer(&endpoint.id, endpoint.born);
+                    monitor.on_pace(now, &endpoint.id, endpoint.born, figures.slowness);
+                    Some(figures)
+                }
+                Err(error) => {
+                    state.monitor.on_probe_answer(&endpoint.id, endpoint.born);
+                    info!(node.log, "report not usable"; "endpoint" => &*endpoint.id, "cause" => %error);
+                    None
+                }
+            },
+            Ok((StatusCode::MISDIRECTED_REQUEST, _)) => {
+                state.monitor.on_replaced(now, &endpoint.id, endpoint.born);
+                info!(node.log, "endpoint replaced"; "endpoint" => &*endpoint.id, "born" => endpoint.born);
+                None
+            }
+            Ok((status, _)) => {
+                info!(node.log, "no report"; "endpoint" => &*endpoint.id, "status" => status.as_u16());
+                None
             }
-            Ok(_) => None,
             Err(error) => {
                 if error.is_refused() {
                     state.monitor.on_refused(now, &endpoint.id, endpoint.born);
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -141,6 +141,8 @@
     pub queued: u32,
     /// Factor by which it is slower than published.
     pub slowness: f64,
+    /// When the incarnation that reports started, if it says so.
+    pub born: Option<u64>,
 }
 
 /// A body that is not what the platform's pages say.
--- a/crates/fleet/src/monitor.rs
+++ b/crates/fleet/src/monitor.rs
@@ -150,6 +150,14 @@
         signs.failed_probes += 1;
     }
 
+    /// Takes an answer that shows this incarnation to have ended: another endpoint or
+    /// another incarnation has its address.
+    pub fn on_replaced(&mut self, now: Time, id: &Name, born: u64) {
+        let signs = self.signs(id, born);
+        signs.suspected = Some(now);
+        signs.refused = REFUSALS_TO_DEAD;
+    }
+
     /// Takes a probe without an answer.
     pub fn on_silence(&mut self, now: Time, id: &Name, born: u64) {
         let signs = self.signs(id, born);
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -257,3 +257,14 @@
     };
     assert!(orders.iter().all(|o| &*o.endpoint != "a9"), "{orders:?}");
 }
+
+#[test]
+fn a_member_whose_address_another_vm_has_is_lost() {
+    let mut fleet = Fleet::new();
+    fleet.group("large", &["a1", "a2", "a3", "a4"]);
+    fleet.spare("large", "a5");
+    fleet.roster.remove(ms(NOW_MS - 2_000), "a3");
+    fleet.monitor.on_replaced(ms(NOW_MS), &"a3".into(), 1);
+    let plan = fleet.step(ms(NOW_MS));
+    assert!(serving(&plan)[0].has("a5"), "{plan:#?}");
+}
