--- a/crates/fleet/src/planner/standby.rs
+++ b/crates/fleet/src/planner/standby.rs
@@ -8,9 +8,9 @@
 use crate::catalog::{Engine, Model};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
-/// Lets every spare VM keep a model loaded: one that is short of members, else the
-/// one that its host has, else the one with the most members for each spare of the
-/// domain.
+/// Lets every spare VM keep a model loaded: one that a group needs in this domain, else
+/// the one that its host has, else the one with the most members for each spare of the
+/// domain. While groups can be put together anew, nothing is loaded for them.
 pub(super) fn stand_by(
     engine: &Engine,
     service: &str,
@@ -65,6 +65,9 @@
     plan: &mut Plan,
     needs: &Needs,
 ) {
+    if needs.0.is_empty() {
+        return;
+    }
     loop {
         let stock = Stock::count(service, vms, plan);
         let idle = |domain: &str| {
@@ -122,7 +125,7 @@
                 needs.add(domain, &group.model, group.members.len() - count);
             }
         }
-        for model in engine.models.iter() {
+        for model in &engine.models {
             let missing = forming::missing_groups(model, vms, plan);
             for domain in roomiest(vms, plan, model.size, missing) {
                 needs.add(domain, &model.name, model.size);
