Leave at most a fifth of a head's places free, however many entries there are

Cause: read in the last review: the margin grows with the root of the entries, and at 1,400 entries 0.56 of each head's places would stay free. The test wasn't run without the change; by the figures 3 of 8 places would have been used where it asks for 6.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -76,6 +76,8 @@
 /// Heads that are compared in any case: two random ones spread load far better than
 /// one.
 const LEAST_COMPARED: usize = 2;
+/// Part of a head's places that is left free at most, however many entries there are.
+const MOST_MARGIN: f64 = 0.2;
 /// Heads that one entry compares at most.
 const MOST_COMPARED: usize = 12;
 
@@ -119,6 +121,7 @@
         return Placement::Nowhere;
     }
     let margin = settings.margin * (settings.entries as f64).sqrt();
+    let margin = margin.min(MOST_MARGIN);
     let slots = f64::from(engine.slots) * (1.0 - margin) * room.part();
     let free = |c: &&Candidate| !c.spent && c.batch.requests < slots;
     let mut open: SmallVec<[&Candidate; 16]> = candidates.iter().filter(free).collect();
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -320,3 +320,19 @@
         "13 requests, 10 a second: {span:?}"
     );
 }
+
+#[test]
+fn many_entries_still_use_most_of_a_heads_places() {
+    let settings = PlaceSettings {
+        entries: 1_400,
+        ..PlaceSettings::default()
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut choose = |requests| {
+        let head = [candidate("head", requests)];
+        let work = Work::default();
+        choose_head(&settings, &engine(), 1.0, &head, work, Room::All, &mut rng)
+    };
+    assert!(matches!(choose(6.0), Placement::Head(..)));
+    assert_eq!(choose(6.5), Placement::Full);
+}
