--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -7,7 +7,7 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Endpoint, GroupPlan, GroupSettings, GroupState, LoadLimits, MemberPlan, Monitor,
-    MonitorSettings, Plan, Planner, Roster, Step, survey,
+    MonitorSettings, OrderAnswer, Plan, Planner, Roster, Step, survey,
 };
 use support::{endpoint, member, ms, service};
 
@@ -268,3 +268,49 @@
     let plan = fleet.step(ms(NOW_MS));
     assert!(serving(&plan)[0].has("a5"), "{plan:#?}");
 }
+
+#[test]
+fn loads_begin_at_the_published_rate_at_most() {
+    let mut fleet = Fleet::new();
+    for i in 0..9 {
+        let mut vm = endpoint(&format!("a{i}"), "a");
+        vm.staged.clear();
+        fleet.roster.put(vm);
+    }
+    let mut planner = Planner::new(GroupSettings::default());
+    let limits = LoadLimits {
+        in_traffic: true,
+        rate_part: 0.9,
+    };
+    let (mut plan, mut begun) = (Plan::default(), Vec::new());
+    let mut loading = BTreeSet::new();
+    for at in (0..5_000).step_by(100) {
+        let now = ms(NOW_MS + at);
+        let views = survey(now, "engines", &fleet.roster, &fleet.monitor);
+        match planner.step(now, &service(), &plan, &views, limits) {
+            Step::Store(next) => plan = next,
+            Step::Orders(orders) => {
+                let joins = orders.iter().filter(|o| o.kind.label() == "join");
+                for order in joins {
+                    planner.on_answer(order, 1, OrderAnswer::Begun);
+                    // The records stay as they are, so orders are given again.
+                    if loading.insert(order.endpoint.clone()) {
+                        begun.push(at);
+                    }
+                }
+            }
+            Step::Reread => panic!("nothing is newer"),
+        }
+    }
+    assert!(!begun.is_empty());
+    let second = |from: u64| {
+        begun
+            .iter()
+            .filter(|t| (from..from + 1_000).contains(t))
+            .count()
+    };
+    let most = (0..4_000).step_by(100).map(second).max().unwrap();
+    // The test's engine allows 4 loads a second; six may run at once.
+    assert!(most <= 4, "{begun:?}");
+    assert_eq!(begun.len(), 6, "{begun:?}");
+}
