Plan groups from an index of the free VMs

Now one pass builds an index by domain, and forming a group touches one domain. The plans are as before.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -15,6 +15,7 @@
 
 mod consolidate;
 mod formation;
+mod free;
 mod repair;
 mod standby;
 mod view;
@@ -265,8 +266,10 @@
         self.departures
             .retain(|id, _| vms.get(&**id).is_some_and(|v| v.membership().is_some()));
         self.sent.retain(|(id, _), _| vms.contains_key(&**id));
+        let planned: HashMap<&str, &GroupPlan> =
+            plan.groups.iter().map(|g| (g.name.as_str(), g)).collect();
         for vm in vms.values().filter(|v| !v.is_lost()) {
-            orders.extend(self.leave_old_group(now, engine, plan, vms, vm));
+            orders.extend(self.leave_old_group(now, engine, &planned, vms, vm));
         }
         self.remove_finished_loads(now, vms);
         let groups = plan.groups.iter().filter(|g| *g.service == *service.name);
@@ -286,15 +289,13 @@
         &mut self,
         now: Time,
         engine: &Engine,
-        plan: &Plan,
+        planned: &HashMap<&str, &GroupPlan>,
         vms: &Vms<'_>,
         vm: &VmView<'_>,
     ) -> Option<Order> {
         let membership = vm.membership()?;
-        let planned = plan
-            .groups
-            .iter()
-            .any(|g| vm.is_in(g) && g.has_member(&vm.endpoint.id));
+        let group = planned.get(&*membership.group);
+        let planned = group.is_some_and(|g| vm.is_in(g) && g.has_member(&vm.endpoint.id));
         if planned || is_standby(membership) || self.has_left(vm, membership) {
             self.unplanned_since.remove(&vm.endpoint.id);
             return None;
--- a/crates/fleet/src/planner/consolidate.rs
+++ b/crates/fleet/src/planner/consolidate.rs
@@ -9,7 +9,7 @@
 
 use smallvec::SmallVec;
 
-use super::formation::{free, member};
+use super::free::{FreeVms, member};
 use super::{VmView, Vms};
 use crate::catalog::{Engine, Model};
 use crate::endpoint::GroupMembership;
@@ -97,7 +97,10 @@
         .iter()
         .filter(|g| domain_count(vms, g).is_some_and(|s| s > 1));
     let spanning: Vec<&GroupPlan> = spanning.copied().take(MAX_SEARCHED).collect();
-    let mut spares: Vec<&VmView<'_>> = free(vms, plan);
+    if spanning.is_empty() {
+        return None;
+    }
+    let mut spares: Vec<&VmView<'_>> = FreeVms::find(vms, plan).iter().collect();
     spares.retain(|v| v.load_rank(&model.name) == 0 && !v.is_loading() && !v.is_slow());
     for count in 1..=MAX_REBUILT.min(spanning.len()) {
         let combinations = Combinations::new(spanning.len(), count);
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -1,9 +1,11 @@
 //! Forms groups out of free VMs, and decides how many groups each model should have.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use smallvec::SmallVec;
 
+use super::free::{FreeVms, member, missing_groups, wanted_groups};
 use super::{Eligibility, PlannerSettings, VmView, Vms, consolidate, repair, standby};
 use crate::catalog::{Engine, Model};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
@@ -95,26 +97,38 @@
 /// Forms missing groups while there are VMs for them, those of the model with the largest
 /// shortage first.
 fn form(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan, eligibility: Eligibility) {
+    let mut shortages: Vec<Shortage<'_>> = engine
+        .models
+        .iter()
+        .map(|m| Shortage::find(m, vms, plan))
+        .collect();
+    if shortages.iter().all(|s| s.missing == 0) {
+        return;
+    }
+    let mut formation = Formation {
+        vms,
+        free: FreeVms::find(vms, plan),
+        eligibility,
+    };
     loop {
-        let mut models: Vec<(&Model, f64)> = engine
-            .models
-            .iter()
-            .map(|m| (m, shortage(m, vms, plan)))
-            .filter(|(_, shortage)| *shortage > 0.0)
-            .collect();
-        models.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let found = models
-            .iter()
-            .find_map(|(m, _)| members_for(m, vms, plan, eligibility).map(|members| (*m, members)));
-        let Some((model, members)) = found else {
+        shortages.sort_by(|a, b| b.fraction().total_cmp(&a.fraction()));
+        let missing = shortages.iter_mut().filter(|s| s.missing > 0);
+        let mut found = missing.filter_map(|s| {
+            let members = formation.members_for(s)?;
+            Some((s, members))
+        });
+        let Some((shortage, members)) = found.next() else {
             return;
         };
+        drop(found);
+        shortage.add_group(vms, &members);
+        formation.free.take(vms, &members);
         let epoch = plan.next_epoch();
         plan.remove_standby(&members);
         plan.groups.push(GroupPlan {
             name: format!("{service}-{epoch}"),
             service: service.to_owned(),
-            model: model.name.to_string(),
+            model: shortage.model.name.to_string(),
             epoch,
             members,
             standby: false,
@@ -122,140 +136,131 @@
     }
 }
 
-/// Returns the fraction of a model's wanted groups that is missing. Groups in data
-/// centres that are out of service count as missing.
-pub(super) fn shortage(model: &Model, vms: &Vms<'_>, plan: &Plan) -> f64 {
-    let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
-    missing_groups(model, vms, plan) as f64 / wanted.max(1) as f64
+/// The groups that a model has and lacks.
+struct Shortage<'v> {
+    model: &'v Model,
+    wanted: usize,
+    missing: usize,
+    /// Groups by the data centre of their leader.
+    per_data_centre: BTreeMap<String, usize>,
+    /// Groups by the fabric domain of their leader.
+    per_domain: BTreeMap<String, usize>,
 }
 
-/// Returns the number of a model's wanted groups that are missing.
-pub(super) fn missing_groups(model: &Model, vms: &Vms<'_>, plan: &Plan) -> usize {
-    let wanted = plan.wanted.get(&*model.name).copied().unwrap_or_default();
-    let in_service = |g: &&GroupPlan| {
-        let mut members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
-        !g.standby && *g.model == *model.name && members.all(|v| !v.evacuated)
-    };
-    let present = plan.groups.iter().filter(in_service).count();
-    wanted.saturating_sub(present)
-}
-
-/// Returns members for a new group.
-///
-/// They are in one domain if they have the weights or may load them. Otherwise they are
-/// in several domains, but only if the model lacks many groups: a cross-domain group is
-/// slow, and takes spares from each of its domains.
-fn members_for(
-    model: &Model,
-    vms: &Vms<'_>,
-    plan: &Plan,
-    eligibility: Eligibility,
-) -> Option<Vec<MemberPlan>> {
-    let in_domain = single_domain_members(model, vms, plan);
-    let has_weights = |m: &MemberPlan| vms[m.id.as_str()].has_staged(&model.name);
-    let loaded = |members: &Vec<MemberPlan>| members.iter().all(has_weights);
-    let in_domain = in_domain.filter(|members| eligibility == Eligibility::Any || loaded(members));
-    in_domain.or_else(|| match lacks_many_groups(model, vms, plan) {
-        true => cross_domain_members(model, vms, plan),
-        false => None,
-    })
-}
+impl<'v> Shortage<'v> {
+    fn find(model: &'v Model, vms: &Vms<'_>, plan: &Plan) -> Self {
+        let mut found = Self {
+            model,
+            wanted: wanted_groups(model, plan),
+            missing: missing_groups(model, vms, plan),
+            per_data_centre: BTreeMap::new(),
+            per_domain: BTreeMap::new(),
+        };
+        let own = plan.groups.iter();
+        for group in own.filter(|g| !g.standby && *g.model == *model.name) {
+            found.count_leader(vms, &group.members);
+        }
+        found
+    }
 
-/// Returns whether a model lacks more than a third of its wanted groups.
-pub(super) fn lacks_many_groups(model: &Model, vms: &Vms<'_>, plan: &Plan) -> bool {
-    shortage(model, vms, plan) > 1.0 / 3.0
-}
+    fn count_leader(&mut self, vms: &Vms<'_>, members: &[MemberPlan]) {
+        let Some(leader) = members.first().and_then(|m| vms.get(m.id.as_str())) else {
+            return;
+        };
+        let data_centre = leader.endpoint.data_centre.to_string();
+        *self.per_data_centre.entry(data_centre).or_default() += 1;
+        let domain = leader.endpoint.domain.to_string();
+        *self.per_domain.entry(domain).or_default() += 1;
+    }
 
-/// Returns members that have the weights, starting with the domains that have the most.
-fn cross_domain_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
-    let staged = free(vms, plan)
-        .into_iter()
-        .filter(|v| v.has_staged(&model.name));
-    let mut staged: Vec<&VmView<'_>> = staged.collect();
-    if staged.len() < model.group_size {
-        return None;
+    fn add_group(&mut self, vms: &Vms<'_>, members: &[MemberPlan]) {
+        self.missing = self.missing.saturating_sub(1);
+        self.count_leader(vms, members);
     }
-    let mut per_domain: BTreeMap<&str, usize> = BTreeMap::new();
-    for vm in &staged {
-        *per_domain.entry(&vm.endpoint.domain).or_default() += 1;
+
+    /// Returns the fraction of the wanted groups that is missing.
+    fn fraction(&self) -> f64 {
+        self.missing as f64 / self.wanted.max(1) as f64
     }
-    staged.sort_by_key(|v| {
-        let domain = &*v.endpoint.domain;
-        (
-            usize::MAX - per_domain[domain],
-            domain.to_owned(),
-            v.load_rank(&model.name),
-        )
-    });
-    Some(staged.iter().take(model.group_size).map(member).collect())
 }
 
-/// Returns members in one domain for a new group.
-///
-/// Domains in which no host has to load the weights go first, then the domain and the
-/// data centre with the fewest groups of the model, so that few groups are lost with a
-/// domain.
-fn single_domain_members(model: &Model, vms: &Vms<'_>, plan: &Plan) -> Option<Vec<MemberPlan>> {
-    let mut per_data_centre: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut per_domain: BTreeMap<&str, usize> = BTreeMap::new();
-    for group in plan
-        .groups
-        .iter()
-        .filter(|g| !g.standby && *g.model == *model.name)
-    {
-        if let Some(leader) = vms.get(group.members[0].id.as_str()) {
-            *per_data_centre
-                .entry(&leader.endpoint.data_centre)
-                .or_default() += 1;
-            *per_domain.entry(&leader.endpoint.domain).or_default() += 1;
-        }
+/// Fraction of a model's wanted groups that must be missing before a group may span
+/// domains: such a group is slow, and takes spares from each of its domains.
+const CROSS_DOMAIN_SHORTAGE: f64 = 1.0 / 3.0;
+
+/// The VMs from which groups are formed.
+struct Formation<'a, 'v> {
+    vms: &'a Vms<'v>,
+    free: FreeVms<'a, 'v>,
+    eligibility: Eligibility,
+}
+
+impl Formation<'_, '_> {
+    /// Returns members for a new group.
+    ///
+    /// They are in one domain if they have the weights or may load them. Otherwise they are
+    /// in several domains, but only if the model lacks many groups.
+    fn members_for(&self, shortage: &Shortage<'_>) -> Option<Vec<MemberPlan>> {
+        let model = shortage.model;
+        let has_weights = |m: &MemberPlan| self.vms[m.id.as_str()].has_staged(&model.name);
+        let may_load = self.eligibility == Eligibility::Any;
+        let in_domain = self.single_domain_members(shortage);
+        let in_domain = in_domain.filter(|members| may_load || members.iter().all(has_weights));
+        in_domain.or_else(|| match shortage.fraction() > CROSS_DOMAIN_SHORTAGE {
+            true => self.cross_domain_members(model),
+            false => None,
+        })
     }
-    let mut domains: Vec<&str> = vms.values().map(|v| &*v.endpoint.domain).collect();
-    domains.sort_unstable();
-    domains.dedup();
-    let mut best = None;
-    for domain in domains {
-        let mut free = free_in(vms, plan, domain);
-        if free.len() < model.group_size {
-            continue;
+
+    /// Returns members that have the weights, starting with the domains that have the most.
+    fn cross_domain_members(&self, model: &Model) -> Option<Vec<MemberPlan>> {
+        let staged = self.free.iter().filter(|v| v.has_staged(&model.name));
+        let mut staged: Vec<&VmView<'_>> = staged.collect();
+        if staged.len() < model.group_size {
+            return None;
         }
-        free.sort_by_key(|v| (v.load_rank(&model.name), v.endpoint.id.clone()));
-        let chosen = &free[..model.group_size];
-        let unstaged = chosen.iter().filter(|v| !v.has_staged(&model.name)).count();
-        let data_centre = &*free[0].endpoint.data_centre;
-        let rank = (
-            unstaged > 0,
-            per_domain.get(domain).copied().unwrap_or(0),
-            per_data_centre.get(data_centre).copied().unwrap_or(0),
-            unstaged,
-            usize::MAX - free.len(),
-        );
-        if best.as_ref().is_none_or(|(old, _)| rank < *old) {
-            best = Some((rank, chosen.iter().map(member).collect()));
+        let mut per_domain: BTreeMap<&str, usize> = BTreeMap::new();
+        for vm in &staged {
+            *per_domain.entry(&vm.endpoint.domain).or_default() += 1;
         }
+        staged.sort_by_cached_key(|v| {
+            let domain = &v.endpoint.domain;
+            let count = per_domain[&**domain];
+            (Reverse(count), domain.clone(), v.load_rank(&model.name))
+        });
+        Some(staged.iter().take(model.group_size).map(member).collect())
     }
-    best.map(|(_, members)| members)
-}
 
-pub(super) fn member(vm: &&VmView<'_>) -> MemberPlan {
-    MemberPlan {
-        id: vm.endpoint.id.to_string(),
-        incarnation: vm.endpoint.incarnation,
+    /// Returns members in one domain for a new group.
+    ///
+    /// Domains in which no host has to load the weights go first, then the domain and the
+    /// data centre with the fewest groups of the model, so that few groups are lost with a
+    /// domain.
+    fn single_domain_members(&self, shortage: &Shortage<'_>) -> Option<Vec<MemberPlan>> {
+        let model = shortage.model;
+        let large_enough = self.free.domains();
+        let large_enough = large_enough.filter(|(_, free)| free.len() >= model.group_size);
+        let best = large_enough.min_by_key(|(domain, free)| {
+            let staged = free.iter().filter(|v| v.has_staged(&model.name)).count();
+            let unstaged = model.group_size.saturating_sub(staged);
+            let data_centre = &*free[0].endpoint.data_centre;
+            let groups = shortage.per_domain.get(*domain).copied().unwrap_or(0);
+            let nearby = shortage.per_data_centre.get(data_centre).copied();
+            (
+                unstaged > 0,
+                groups,
+                nearby.unwrap_or(0),
+                unstaged,
+                Reverse(free.len()),
+            )
+        });
+        let (domain, _) = best?;
+        let mut free = self.free.in_domain(domain).to_vec();
+        free.sort_by_key(|v| (v.load_rank(&model.name), &v.endpoint.id));
+        Some(free[..model.group_size].iter().map(member).collect())
     }
 }
 
-/// Returns the usable VMs of a domain that are in no group, or only on standby.
-pub(super) fn free_in<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan, domain: &str) -> Vec<&'a VmView<'v>> {
-    let all = free(vms, plan).into_iter();
-    all.filter(|v| *v.endpoint.domain == *domain).collect()
-}
-
-/// Returns the usable VMs that are in no group, or only on standby.
-pub(super) fn free<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan) -> Vec<&'a VmView<'v>> {
-    let free = |v: &&VmView<'_>| v.is_usable() && plan.group_of(&v.endpoint.id).is_none();
-    vms.values().filter(free).collect()
-}
-
 /// Sorts groups by the number of members that still have to load the weights, standby groups
 /// last. As only few loads run at a time, groups become complete one after the other.
 pub(super) fn sort_by_unstaged<'p>(
--- a/crates/fleet/src/planner/repair.rs
+++ b/crates/fleet/src/planner/repair.rs
@@ -1,6 +1,6 @@
 //! Repairs groups that lose members.
 
-use super::formation::{free, member};
+use super::free::{FreeVms, member};
 use super::{Eligibility, VmView, Vms};
 use crate::catalog::Engine;
 use crate::endpoint::EndpointPhase;
@@ -155,7 +155,8 @@
     let may_load =
         |v: &VmView<'_>| eligibility == Eligibility::Any && *v.endpoint.domain == *domain;
     let fits = |v: &&VmView<'_>| v.has_staged(model) || may_load(v);
-    let mut spares: Vec<&VmView<'_>> = free(vms, plan).into_iter().filter(fits).collect();
+    let free = FreeVms::find(vms, plan);
+    let mut spares: Vec<&VmView<'_>> = free.iter().filter(fits).collect();
     spares.sort_by_key(rank);
     spares
 }
--- a/crates/fleet/src/planner/standby.rs
+++ b/crates/fleet/src/planner/standby.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::consolidate::Consolidation;
-use super::formation::{self, member};
+use super::free::{FreeVms, member, member_ids, missing_groups};
 use super::{STANDBY_INFIX, VmView, Vms};
 use crate::catalog::{Engine, Model};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
@@ -30,11 +30,7 @@
     let needs = SpareNeeds::find(engine, service, vms, plan, consolidation);
     release_unneeded(engine, service, vms, plan, &needs);
     let mut counts = ModelCounts::count(service, vms, plan);
-    let is_idle = |v: &&VmView<'_>| {
-        v.is_usable() && !plan.groups.iter().any(|g| g.has_member(&v.endpoint.id))
-    };
-    let idle: Vec<&VmView<'_>> = vms.values().filter(is_idle).collect();
-    for vm in idle {
+    for vm in idle_vms(vms, plan) {
         let domain = &*vm.endpoint.domain;
         let need = |m: &&Model| {
             (
@@ -59,6 +55,13 @@
     }
 }
 
+/// Returns the usable VMs that are in no group, not even on standby.
+fn idle_vms<'a, 'v>(vms: &'a Vms<'v>, plan: &Plan) -> Vec<&'a VmView<'v>> {
+    let assigned = member_ids(plan.groups.iter());
+    let is_idle = |v: &&VmView<'_>| v.is_usable() && !assigned.contains(&*v.endpoint.id);
+    vms.values().filter(is_idle).collect()
+}
+
 /// Removes standby groups whose VM another model needs more in its domain. The load takes
 /// long, but without it the weights would never be loaded there.
 fn release_unneeded(
@@ -73,12 +76,10 @@
     }
     loop {
         let counts = ModelCounts::count(service, vms, plan);
-        let idle = |domain: &str| {
-            let usable = vms.values().filter(|v| v.is_usable());
-            let here = usable.filter(|v| *v.endpoint.domain == *domain);
-            here.filter(|v| !plan.groups.iter().any(|g| g.has_member(&v.endpoint.id)))
-                .count()
-        };
+        let mut idle: BTreeMap<&str, usize> = BTreeMap::new();
+        for vm in idle_vms(vms, plan) {
+            *idle.entry(&vm.endpoint.domain).or_default() += 1;
+        }
         let is_dispensable = |g: &GroupPlan| {
             let vm = vms.get(g.members[0].id.as_str());
             let domain = vm.map(|v| &*v.endpoint.domain).unwrap_or_default();
@@ -86,7 +87,7 @@
             let unmet = others.map(|m| needs.unmet(&counts, domain, &m.name)).max();
             g.standby
                 && g.service == service
-                && unmet.unwrap_or(0) > idle(domain)
+                && unmet.unwrap_or(0) > idle.get(domain).copied().unwrap_or(0)
                 && counts.spares(domain, &g.model) > needs.of(domain, &g.model)
         };
         let Some(index) = plan.groups.iter().position(is_dispensable) else {
@@ -132,7 +133,7 @@
             }
         }
         for model in &engine.models {
-            let missing = formation::missing_groups(model, vms, plan);
+            let missing = missing_groups(model, vms, plan);
             for domain in largest_domains(vms, plan, model.group_size, missing) {
                 needs.add(domain, &model.name, model.group_size);
             }
@@ -163,7 +164,7 @@
 /// ones with the most first. There are at most `limit`.
 fn largest_domains<'v>(vms: &Vms<'v>, plan: &Plan, size: usize, limit: usize) -> Vec<&'v str> {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    for vm in formation::free(vms, plan) {
+    for vm in FreeVms::find(vms, plan).iter() {
         *counts.entry(&vm.endpoint.domain).or_default() += 1;
     }
     let mut domains: Vec<(usize, &str)> = counts.into_iter().map(|(d, n)| (n, d)).collect();
