Read the first request of a connection accepted during a planned stop

Such a connection now stays open for up to 1 s until its first request, and closes after the answer.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -37,6 +37,9 @@
 /// Smallest buffer that the HTTP library accepts.
 const MIN_HEADER_BYTES: usize = 8 * 1_024;
 
+/// Time that a connection without a request stays open during a planned stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// What a listening socket serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListenerRole {
@@ -103,8 +106,10 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_HEADER_BYTES));
+    let (requested, first_request) = watch::channel(false);
     let service = service_fn(move |request| {
         let node = node.clone();
+        requested.send_replace(true);
         async move { Ok::<_, Infallible>(answer(&node, role, request).await) }
     });
     let serving = builder.serve_connection(TokioIo::new(stream), service);
@@ -112,12 +117,21 @@
     // The result is ignored: a request on the connection sees its error itself.
     tokio::select! {
         _ = serving.as_mut() => return,
-        _ = stop.wait_for(|s| *s == StopPhase::Finishing) => {}
+        () = may_close(&mut stop, first_request) => {}
     }
     serving.as_mut().graceful_shutdown();
     let _ = serving.await;
 }
 
+/// Waits until the process finishes its connections and this one may be closed after its
+/// current request. A connection that has had no request stays open for a while, because
+/// the first one may already be on its way.
+async fn may_close(stop: &mut watch::Receiver<StopPhase>, mut first: watch::Receiver<bool>) {
+    // Both senders live as long as the process and the connection.
+    let _ = stop.wait_for(|s| *s == StopPhase::Finishing).await;
+    let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, first.wait_for(|seen| *seen)).await;
+}
+
 async fn answer(
     node: &Rc<Node>,
     role: ListenerRole,
