--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -142,6 +142,7 @@
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
         let mut connection = connection.map_err(|e| on_connection_error(node, endpoint, &e))?;
         let request = build_request(node, call, endpoint, deadline, last_event);
+        node.on_call_bytes(endpoint, call.body.len());
         let sent = wait_for(
             node,
             endpoint,
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -41,8 +41,9 @@
 /// A call that the entry answers itself instead of forwarding it to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LocalCall {
-    /// A caller asks for the addresses of the entries.
-    Directory,
+    /// A caller, in this data centre if it names one, asks for the addresses of the
+    /// entries.
+    Directory(Option<Name>),
     /// The platform checks whether this entry is ready for callers.
     Ready,
 }
@@ -162,8 +163,8 @@
 pub trait Dialect {
     /// Returns the names of the headers.
     fn headers(&self) -> &HeaderNames;
-    /// Returns the call that the entry answers itself for a path, if it is one.
-    fn local_call(&self, path: &str) -> Option<LocalCall>;
+    /// Returns the call that the entry answers itself for a path and query, if it is one.
+    fn local_call(&self, path: &str, query: Option<&str>) -> Option<LocalCall>;
     /// Encodes the answer to a caller that asks for addresses.
     fn encode_directory(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
     /// Returns a caller's key from the value of the `Authorization` header.
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -97,7 +97,7 @@
             continue;
         }
         let since = *eligible_since.get_or_insert(now);
-        if now.since(since) < peers::peer_interval(&node).max(TAKEOVER_DELAY) {
+        if now.since(since) < peers::takeover_delay(&node).max(TAKEOVER_DELAY) {
             continue;
         }
         if !std::mem::replace(&mut node.state.borrow_mut().planning, true) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,9 +20,11 @@
 mod net;
 mod node;
 mod outcome;
+mod peer_messages;
 mod peers;
 mod plain;
 mod pool;
+mod records;
 mod relay;
 mod run;
 mod serve;
@@ -31,6 +33,7 @@
 mod store;
 mod stream;
 mod sync;
+mod waiting;
 
 pub use dialect::{
     Change, Changes, Consistency, DecodeError, Dialect, HeaderNames, LoadReport, LocalCall,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -9,6 +9,24 @@
 
 use crate::outcome::{Refusal, RetryCause};
 
+/// What bytes to other entries and to endpoints are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub(crate) enum ByteCause {
+    /// Reports to other entries.
+    Report,
+    /// Digests to the followers in the data centre.
+    Digest,
+    /// Summaries to hubs of other data centres.
+    Summary,
+    /// Answers of the relay to followers in the data centre.
+    RelayNearby,
+    /// Answers of the relay to followers in other data centres.
+    RelayRemote,
+    /// Requests to endpoints in other data centres, and their answers.
+    RemoteCall,
+}
+
 /// The metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -19,6 +37,8 @@
     orders: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
+    bytes: Counter<u64>,
+    bad_datagrams: Counter<u64>,
     first_part: Histogram<f64>,
     waited: Histogram<f64>,
     version: Gauge<u64>,
@@ -62,6 +82,14 @@
                 "bulrushhoist_store_calls",
                 "Calls to the store and to relays by purpose and result",
             ),
+            bytes: counter(
+                "bulrushhoist_bytes",
+                "Bytes to other entries, and to and from endpoints in other data centres, by cause",
+            ),
+            bad_datagrams: counter(
+                "bulrushhoist_bad_datagrams",
+                "Datagrams that were not understood",
+            ),
             first_part: histogram(
                 "bulrushhoist_first_part_seconds",
                 "Time from a request's arrival to the first part of its answer",
@@ -114,6 +142,15 @@
         self.store_calls.add(1, &labels);
     }
 
+    pub(crate) fn on_bytes(&self, cause: ByteCause, bytes: usize) {
+        let cause = KeyValue::new("cause", cause.to_string());
+        self.bytes.add(bytes as u64, &[cause]);
+    }
+
+    pub(crate) fn on_bad_datagram(&self) {
+        self.bad_datagrams.add(1, &[]);
+    }
+
     pub(crate) fn on_wait(&self, waited: Duration) {
         self.waited.record(waited.as_secs_f64(), &[]);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,17 +7,20 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{Time, stable_hash};
-use bulrushhoist_fleet::{EndpointLoad, Health, LeaderChoice, Name, SlowLeader, Suspicion, Work};
+use bulrushhoist_fleet::{
+    Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership, MembershipSettings, Name,
+    SlowLeader, Suspicion, Work, name_key,
+};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
-use crate::metrics::Metrics;
+use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
 use crate::relay::Relay;
 use crate::settings::Settings;
-use crate::state::{Phase, State, short_hash};
+use crate::state::{Phase, State};
 use crate::store::StoreClient;
 
 /// Slowdown from which on a leader is reported to the other entries as slow.
@@ -55,13 +58,22 @@
     ) -> Self {
         let store = StoreClient::new(settings.store.address, dialect.clone());
         let seed = stable_hash([settings.node.as_bytes()]) ^ u64::from(std::process::id());
-        let state = State::new(seed);
+        let clock = Clock::new();
+        let own = EntryInfo {
+            name: settings.node.clone(),
+            data_centre: settings.data_centre.clone(),
+            peers: settings.listen.peers,
+            callers: settings.listen.callers,
+            cpu_milli: settings.cpu_milli,
+        };
+        let peers = Membership::new(MembershipSettings::default(), own, clock.now());
+        let state = State::new(seed, peers);
         Self {
             settings,
             dialect,
             log,
             metrics,
-            clock: Clock::new(),
+            clock,
             store,
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
@@ -125,6 +137,14 @@
         self.planner_wake.notify_one();
     }
 
+    /// Counts the bytes of a request to an endpoint, or of its answer, if the endpoint is in
+    /// another data centre.
+    pub(crate) fn on_call_bytes(&self, endpoint: &Endpoint, bytes: usize) {
+        if endpoint.data_centre != self.settings.data_centre {
+            self.metrics.on_bytes(ByteCause::RemoteCall, bytes);
+        }
+    }
+
     /// Records data from an endpoint, which shows that it is alive.
     pub(crate) fn on_activity(&self, endpoint: &Name, incarnation: u64) {
         let now = self.now();
@@ -223,7 +243,7 @@
                 continue;
             }
             if let Some(leader) = state.roster.leader_of(endpoint) {
-                let key = short_hash(&leader.id);
+                let key = name_key(&leader.id);
                 slow.push(SlowLeader { key, slowdown });
             }
         }
@@ -235,7 +255,7 @@
         let state = self.state.borrow();
         let busy = state.loads.iter().filter(|(_, l)| l.requests > 0);
         busy.map(|(id, l)| EndpointLoad {
-            key: short_hash(id),
+            key: name_key(id),
             requests: l.requests,
             prefill_tokens: l.prefill_tokens,
         })
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -129,6 +129,7 @@
     let (parts, body) = opened.response.into_parts();
     let body = collect(body, MAX_ANSWER_BYTES).await;
     let body = body.map_err(|_| AttemptError::MayHaveRun(RetryCause::Broken))?;
+    node.on_call_bytes(endpoint, body.len());
     node.pool.put(node.now(), endpoint, opened.connection);
     Ok(PlainAnswer {
         parts,
--- /dev/null
+++ b/crates/entry/src/records.rs
@@ -0,0 +1,228 @@
+//! Applies the objects of the store to this entry's state.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bulrushhoist_fleet::{ASSUMED_COLD_TIME, EntryInfo, Name, RosterChange, assumed_cold_time};
+use rand::RngExt as _;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+
+use crate::clock::unix_millis;
+use crate::dialect::{Change, ObjectKind, StoredObject};
+use crate::node::Node;
+use crate::store::StoreError;
+
+/// Pause before a failed registration is repeated.
+const REGISTRATION_RETRY_PAUSE: Duration = Duration::from_millis(800);
+
+/// The record that an entry stores of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct EntryRecord {
+    /// Address at which it receives messages of other entries.
+    peers: SocketAddr,
+    /// Address for callers.
+    callers: SocketAddr,
+    /// Data centre of its VM.
+    data_centre: String,
+    /// Processor time that it may use, in thousandths of a core.
+    cpu_milli: u32,
+}
+
+/// Applies a complete list. Endpoints and evacuations that it does not name are removed.
+pub(crate) fn apply_list(node: &Node, kind: ObjectKind, objects: Vec<StoredObject>) {
+    let names: BTreeSet<Name> = objects.iter().map(|o| o.name.as_str().into()).collect();
+    match kind {
+        ObjectKind::Evacuations => node.state.borrow_mut().roster.set_evacuated(names),
+        ObjectKind::Endpoints => {
+            for object in objects {
+                apply_endpoint(node, &object);
+            }
+            let now = node.now();
+            let gone = node.state.borrow_mut().roster.retain(now, &names);
+            for id in gone {
+                forget_endpoint(node, &id);
+            }
+            node.state.borrow_mut().has_roster = true;
+            node.planner_wake.notify_one();
+        }
+        _ => {
+            for object in objects {
+                apply_change(node, kind, Change::Put(object));
+            }
+        }
+    }
+    if kind == ObjectKind::Entries {
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        state.peers.refresh(now);
+        state.has_entries = true;
+    }
+}
+
+pub(crate) fn apply_change(node: &Node, kind: ObjectKind, change: Change) {
+    match (kind, change) {
+        (ObjectKind::Endpoints, Change::Put(object)) => apply_endpoint(node, &object),
+        (ObjectKind::Endpoints, Change::Removed(id)) => {
+            if node.state.borrow_mut().roster.remove(node.now(), &id) {
+                forget_endpoint(node, &id);
+            }
+        }
+        (ObjectKind::Configuration, Change::Put(object)) => apply_catalog(node, &object),
+        (ObjectKind::Configuration, Change::Removed(name)) => {
+            warn!(node.log, "configuration removed, the last one stays in force"; "name" => name);
+        }
+        (ObjectKind::Evacuations, Change::Put(object)) => set_evacuated(node, &object.name, true),
+        (ObjectKind::Evacuations, Change::Removed(name)) => set_evacuated(node, &name, false),
+        (ObjectKind::Entries, Change::Put(object)) => apply_entry(node, &object),
+        (ObjectKind::Entries, Change::Removed(name)) => {
+            node.state.borrow_mut().peers.unregister(&name);
+        }
+        (ObjectKind::Plans, _) => {}
+    }
+}
+
+fn set_evacuated(node: &Node, name: &str, evacuated: bool) {
+    info!(node.log, "data centre's service changed"; "data_centre" => name, "out" => evacuated);
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    state.roster.evacuate(name.into(), evacuated);
+    if !evacuated {
+        // Its endpoints may have become cold without work, and their records lag behind.
+        let state = &mut *state;
+        for endpoint in state.roster.iter().filter(|e| *e.data_centre == *name) {
+            let limiter = state.cold.entry(endpoint.id.clone()).or_default();
+            limiter.set_cold(now, now + ASSUMED_COLD_TIME, state.rng.random());
+        }
+    }
+    drop(state);
+    node.planner_wake.notify_one();
+}
+
+fn apply_endpoint(node: &Node, object: &StoredObject) {
+    let decoded = node
+        .dialect
+        .decode_endpoint(object.name.as_str().into(), &object.body);
+    let endpoint = match decoded {
+        Ok(endpoint) => endpoint,
+        Err(error) => {
+            warn!(node.log, "endpoint record not usable"; "endpoint" => &object.name, "revision" => object.revision, "cause" => %error);
+            let now = node.now();
+            if node.state.borrow_mut().roster.remove(now, &object.name) {
+                forget_endpoint(node, &object.name);
+            }
+            return;
+        }
+    };
+    let id = endpoint.id.clone();
+    let phase = endpoint.phase;
+    let incarnation = endpoint.incarnation;
+    let group = endpoint.membership.as_ref();
+    let group = group.map(|m| format!("{}/{} {} {}", m.group, m.epoch, m.rank, m.state));
+    let domain = endpoint.domain.clone();
+    let cold = endpoint.cold_remaining;
+    let change = node.state.borrow_mut().roster.put(endpoint);
+    if change == RosterChange::Same {
+        return;
+    }
+    let cold = cold.max(assumed_cold_time(change, incarnation, unix_millis()));
+    if !cold.is_zero() {
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        let phase = state.rng.random();
+        let limiter = state.cold.entry(id.clone()).or_default();
+        limiter.set_cold(now, now + cold, phase);
+    }
+    info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => incarnation, "revision" => object.revision, "domain" => &*domain, "group" => group);
+    if change == RosterChange::Restarted {
+        node.pool.drop_endpoint(&id);
+    }
+    node.advance_queues();
+}
+
+fn forget_endpoint(node: &Node, id: &str) {
+    info!(node.log, "endpoint gone"; "endpoint" => id);
+    node.pool.drop_endpoint(id);
+    let mut state = node.state.borrow_mut();
+    state.monitor.forget(id);
+    state.cold.remove(id);
+    node.planner_wake.notify_one();
+}
+
+fn apply_catalog(node: &Node, object: &StoredObject) {
+    let mut state = node.state.borrow_mut();
+    if object.revision <= state.catalog_revision {
+        return;
+    }
+    match node.dialect.decode_catalog(&object.body) {
+        Ok(catalog) => {
+            info!(node.log, "configuration in force"; "version" => catalog.version, "revision" => object.revision, "routes" => catalog.route_count());
+            node.metrics.set_version(catalog.version);
+            state.catalog_revision = object.revision;
+            state.catalog = Rc::new(catalog);
+        }
+        Err(error) => {
+            warn!(node.log, "configuration not usable, the last one stays in force"; "revision" => object.revision, "cause" => %error);
+        }
+    }
+}
+
+fn apply_entry(node: &Node, object: &StoredObject) {
+    match serde_json::from_slice::<EntryRecord>(&object.body) {
+        Ok(record) => {
+            let entry = EntryInfo {
+                name: object.name.as_str().into(),
+                data_centre: record.data_centre.as_str().into(),
+                peers: record.peers,
+                callers: record.callers,
+                cpu_milli: record.cpu_milli,
+            };
+            let now = node.now();
+            node.state.borrow_mut().peers.register(now, entry);
+        }
+        Err(error) => {
+            warn!(node.log, "entry record not usable"; "entry" => &object.name, "cause" => %error);
+        }
+    }
+}
+
+/// Registers this entry in the store, and retries until it succeeds.
+pub(crate) async fn register(node: Rc<Node>) {
+    let settings = &node.settings;
+    let record = EntryRecord {
+        peers: settings.listen.peers,
+        callers: settings.listen.callers,
+        data_centre: settings.data_centre.to_string(),
+        cpu_milli: settings.cpu_milli,
+    };
+    let body = serde_json::to_string(&record).expect("a record is valid JSON");
+    let name = node.settings.node.clone();
+    loop {
+        let kind = ObjectKind::Entries;
+        let mut result = node.store.write(kind, &name, None, &body).await;
+        if matches!(result, Err(StoreError::Conflict)) {
+            result = match node.store.read(kind, &name).await {
+                Ok(old) if serde_json::from_slice(&old.body).ok() == Some(record.clone()) => {
+                    Ok(old)
+                }
+                Ok(old) => {
+                    node.store
+                        .write(kind, &name, Some(old.revision), &body)
+                        .await
+                }
+                Err(error) => Err(error),
+            };
+        }
+        match result {
+            Ok(object) => {
+                info!(node.log, "registered"; "revision" => object.revision);
+                return;
+            }
+            Err(error) => warn!(node.log, "not registered yet"; "cause" => %error),
+        }
+        tokio::time::sleep(REGISTRATION_RETRY_PAUSE).await;
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,18 +1,19 @@
 //! Relays the content of the store from one entry to the others.
 //!
 //! Calls to the store cost money and count against its rate limit, so only a few entries
-//! list and watch it. The others follow one of these, with the store's revisions, and go
-//! to the store themselves if their relay stops answering. An entry whose calls the store
+//! list and watch it. The others follow one of these or a hub of their data centre, with
+//! the store's revisions. Each answer says how long ago the store gave it, so that a copy
+//! grows stale at the same moment everywhere below an entry that has lost the store, and
+//! entries that follow each other in a circle stop at once. An entry whose calls the store
 //! refuses also receives changes in this way. See `docs/SYSTEM.md`.
 
 use std::cell::RefCell;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::Name;
+use bulrushhoist_fleet::Role;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
@@ -22,19 +23,21 @@
 
 use crate::connection::{Connection, ConnectionError};
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
+use crate::metrics::ByteCause;
 use crate::node::Node;
-use crate::peers;
-use crate::state::short_hash;
 use crate::sync::watch_wait;
 
-/// Changes of one kind that are kept for followers at most.
-const MAX_CACHED_CHANGES: usize = 400;
+/// Removals of one kind that are kept for followers at most.
+const MAX_CACHED_REMOVALS: usize = 400;
 /// Time beyond the wait of a watch after which the store's last answer is too old for
 /// this entry to be followed.
 const FRESHNESS_MARGIN: Duration = Duration::from_millis(800);
 /// Time that a relay holds a follower's request open while nothing has changed.
-pub(crate) const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time beyond [`LONG_POLL_TIMEOUT`] within which the answer must arrive.
+const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same in a deployment with hubs. It exceeds the wait of a watch, after which the
+/// store's answer ends the request, so the number of requests stays small.
+const LONG_POLL_TIMEOUT_WITH_HUBS: Duration = Duration::from_millis(1_700);
+/// Time beyond the long poll within which the answer must arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
 /// Time within which a relay accepts a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -42,10 +45,24 @@
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 /// Largest body of an object that is relayed; larger ones are read from the store.
 const MAX_RELAYED_BODY_BYTES: usize = 64 * 1_024;
-/// Minimum number of entries that watch the store.
-const MIN_WATCHERS: usize = 2;
-/// Maximum number of entries that follow one watcher.
-const MAX_FOLLOWERS: usize = 33;
+/// The same in a deployment with hubs, which have fast links and few followers each.
+const MAX_RELAYED_BODY_BYTES_WITH_HUBS: usize = 1_024 * 1_024;
+
+/// Returns how long a relay holds a request of this entry open.
+pub(crate) const fn long_poll_timeout(role: Role) -> Duration {
+    match role {
+        Role::Direct => LONG_POLL_TIMEOUT,
+        Role::Hub | Role::Follower => LONG_POLL_TIMEOUT_WITH_HUBS,
+    }
+}
+
+/// Returns the largest body of an object that this entry relays.
+const fn max_relayed_body(role: Role) -> usize {
+    match role {
+        Role::Direct => MAX_RELAYED_BODY_BYTES,
+        Role::Hub | Role::Follower => MAX_RELAYED_BODY_BYTES_WITH_HUBS,
+    }
+}
 
 /// A change on the wire between entries.
 #[derive(Debug, Serialize, Deserialize)]
@@ -70,22 +87,22 @@
 #[serde(rename_all = "snake_case")]
 struct RelayedChanges {
     revision: u64,
+    /// Time since the store gave this answer.
+    age_ms: u64,
     changes: Vec<RelayedChange>,
 }
 
-impl From<&Change> for RelayedChange {
-    fn from(change: &Change) -> Self {
-        match change {
-            Change::Put(object) if object.body.len() > MAX_RELAYED_BODY_BYTES => Self::Changed {
-                name: object.name.clone(),
-                revision: object.revision,
-            },
-            Change::Put(object) => Self::Put {
-                name: object.name.clone(),
-                revision: object.revision,
-                body: String::from_utf8_lossy(&object.body).into_owned(),
-            },
-            Change::Removed(name) => Self::Removed(name.clone()),
+impl RelayedChange {
+    /// Returns an object as it is relayed.
+    fn put(object: &StoredObject, max_body: usize) -> Self {
+        let (name, revision) = (object.name.clone(), object.revision);
+        if object.body.len() > max_body {
+            return Self::Changed { name, revision };
+        }
+        Self::Put {
+            name,
+            revision,
+            body: String::from_utf8_lossy(&object.body).into_owned(),
         }
     }
 }
@@ -120,6 +137,8 @@
 pub(crate) struct Relayed {
     /// Revision up to which it is complete.
     pub(crate) revision: u64,
+    /// Time since the store gave the answer.
+    pub(crate) age: Duration,
     /// The updates since the revision that was asked for.
     pub(crate) updates: Vec<RelayUpdate>,
 }
@@ -127,17 +146,33 @@
 /// This entry's copy of the objects of one kind.
 #[derive(Default)]
 struct KindCache {
-    objects: BTreeMap<String, StoredObject>,
-    /// The latest changes, each with the revision of the answer that contained it.
-    changes: VecDeque<(u64, Change)>,
-    /// Revision after which no change is missing from `changes`.
+    /// The objects, each with the revision of the answer that contained its last change.
+    objects: BTreeMap<String, (u64, StoredObject)>,
+    /// The latest removals, each with the revision of its answer.
+    removals: VecDeque<(u64, String)>,
+    /// Revision after which no removal is missing from `removals`.
     complete_after: u64,
     revision: u64,
-    /// When the store itself last answered. `None` if the last update came from a relay,
-    /// so that no entry follows another follower.
+    /// When the store gave the last answer; `None` before the first.
     answered_at: Option<Time>,
 }
 
+impl KindCache {
+    /// Returns the changes since a revision, or all objects without one. An object that
+    /// changed several times is contained once.
+    fn changes(&self, after: Option<u64>, max_body: usize) -> Vec<RelayedChange> {
+        let after = after.unwrap_or(0);
+        let removals = self.removals.iter();
+        let removed = removals
+            .filter(|(revision, name)| *revision > after && !self.objects.contains_key(name));
+        let removed = removed.map(|(_, name)| RelayedChange::Removed(name.clone()));
+        let puts = self.objects.values();
+        let puts = puts.filter(|(revision, _)| *revision > after || after == 0);
+        let puts = puts.map(|(_, object)| RelayedChange::put(object, max_body));
+        removed.chain(puts).collect()
+    }
+}
+
 /// This entry's copy of the store, for its followers.
 #[derive(Default)]
 pub(crate) struct Relay {
@@ -146,105 +181,108 @@
 }
 
 impl Relay {
-    /// Replaces the copy of a kind by a complete list. `answered_at` is the time of the
-    /// answer if the store itself gave it.
+    /// Replaces the copy of a kind by a complete list. `answered_at` is when the store gave
+    /// it.
     pub(crate) fn reset(
         &self,
         kind: ObjectKind,
         objects: &[StoredObject],
         revision: u64,
-        answered_at: Option<Time>,
+        answered_at: Time,
     ) {
         let mut kinds = self.kinds.borrow_mut();
         let cache = kinds.entry(kind).or_default();
-        let named = objects.iter().map(|o| (o.name.clone(), o.clone()));
-        cache.objects = named.collect();
-        cache.changes.clear();
+        let named = objects.iter();
+        cache.objects = named
+            .map(|o| (o.name.clone(), (revision, o.clone())))
+            .collect();
+        cache.removals.clear();
         cache.complete_after = revision;
         cache.revision = revision;
-        cache.answered_at = answered_at;
+        cache.answered_at = Some(answered_at);
         self.changed.notify_waiters();
     }
 
     /// Adds the changes up to a revision. `answered_at` is as in [`Self::reset`].
-    pub(crate) fn extend(&self, kind: ObjectKind, changes: &Changes, answered_at: Option<Time>) {
+    pub(crate) fn extend(&self, kind: ObjectKind, changes: &Changes, answered_at: Time) {
         let mut kinds = self.kinds.borrow_mut();
         let cache = kinds.entry(kind).or_default();
-        cache.answered_at = answered_at;
+        cache.answered_at = cache.answered_at.max(Some(answered_at));
         cache.revision = cache.revision.max(changes.revision);
         let revision = cache.revision;
         for change in &changes.changes {
             match change {
                 Change::Put(object) => {
-                    cache.objects.insert(object.name.clone(), object.clone());
+                    let kept = (revision, object.clone());
+                    cache.objects.insert(object.name.clone(), kept);
                 }
                 Change::Removed(name) => {
                     cache.objects.remove(name);
+                    cache.removals.push_back((revision, name.clone()));
                 }
             }
-            cache.changes.push_back((revision, change.clone()));
         }
-        while cache.changes.len() > MAX_CACHED_CHANGES {
-            if let Some((revision, _)) = cache.changes.pop_front() {
+        while cache.removals.len() > MAX_CACHED_REMOVALS {
+            if let Some((revision, _)) = cache.removals.pop_front() {
                 cache.complete_after = revision;
             }
         }
-        if !changes.changes.is_empty() {
-            self.changed.notify_waiters();
-        }
+        // Without changes, the new age of the copy still goes to the followers.
+        self.changed.notify_waiters();
+    }
+
+    /// Returns when the store gave the last answer for a kind.
+    fn answered_at(&self, kind: ObjectKind) -> Option<Time> {
+        self.kinds.borrow().get(&kind)?.answered_at
     }
 
     /// Returns what a follower that knows the revision `after` has to receive.
-    fn lookup(&self, now: Time, kind: ObjectKind, after: Option<u64>) -> Lookup {
+    fn lookup(&self, now: Time, query: &RelayQuery, max_body: usize) -> Lookup {
         let kinds = self.kinds.borrow();
-        let limit = watch_wait(kind) + FRESHNESS_MARGIN;
+        let limit = watch_wait(query.kind) + FRESHNESS_MARGIN;
         let fresh = |k: &&KindCache| k.answered_at.is_some_and(|t| now.since(t) < limit);
-        let Some(cache) = kinds.get(&kind).filter(fresh) else {
+        let Some(cache) = kinds.get(&query.kind).filter(fresh) else {
             return Lookup::Stale;
         };
-        let changes: Vec<RelayedChange> = match after {
-            None => {
-                let puts = cache.objects.values().cloned().map(Change::Put);
-                puts.map(|c| RelayedChange::from(&c)).collect()
-            }
-            Some(after) if after < cache.complete_after => return Lookup::HistoryGone,
-            Some(after) => {
-                let newer = cache
-                    .changes
-                    .iter()
-                    .filter(|(revision, _)| *revision > after);
-                newer
-                    .map(|(_, change)| RelayedChange::from(change))
-                    .collect()
-            }
-        };
-        let nothing = changes.is_empty() && after.is_some();
+        if query
+            .after
+            .is_some_and(|after| after < cache.complete_after)
+        {
+            return Lookup::HistoryGone;
+        }
+        let age = cache.answered_at.map_or(Duration::ZERO, |t| now.since(t));
+        let changes = cache.changes(query.after, max_body);
+        let nothing = changes.is_empty() && query.after.is_some();
         let answer = RelayedChanges {
             revision: cache.revision,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             changes,
         };
-        if nothing {
-            Lookup::Unchanged(answer)
-        } else {
-            Lookup::Changed(answer)
+        match nothing {
+            true => Lookup::Unchanged(answer),
+            false => Lookup::Changed(answer),
         }
     }
 
     /// Answers a follower, after a wait while nothing has changed.
-    pub(crate) async fn answer(&self, node: &Node, path: &str) -> (StatusCode, Bytes) {
-        let Some((kind, after)) = parse_path(path) else {
+    pub(crate) async fn answer(&self, node: &Node, target: &str) -> (StatusCode, Bytes) {
+        let Some(query) = RelayQuery::parse(target) else {
             return (StatusCode::NOT_FOUND, Bytes::new());
         };
-        let end = tokio::time::Instant::now() + LONG_POLL_TIMEOUT;
+        let max_body = max_relayed_body(node.state.borrow().peers.role());
+        let end = tokio::time::Instant::now() + query.wait;
+        let asked_at = self.answered_at(query.kind);
         loop {
             let changed = self.changed.notified();
             let over = tokio::time::Instant::now() >= end;
-            match self.lookup(node.now(), kind, after) {
+            let renewed = self.answered_at(query.kind) != asked_at;
+            match self.lookup(node.now(), &query, max_body) {
                 Lookup::Stale => return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
                 Lookup::HistoryGone => return (StatusCode::GONE, Bytes::new()),
-                Lookup::Unchanged(_) if !over => {}
+                Lookup::Unchanged(_) if !over && !renewed => {}
                 Lookup::Unchanged(answer) | Lookup::Changed(answer) => {
                     let body = serde_json::to_vec(&answer).expect("changes are valid JSON");
+                    count_bytes(node, &query, body.len());
                     return (StatusCode::OK, Bytes::from(body));
                 }
             }
@@ -254,6 +292,18 @@
     }
 }
 
+/// Counts the bytes of an answer, by whether its follower is in this data centre.
+fn count_bytes(node: &Node, query: &RelayQuery, bytes: usize) {
+    let state = node.state.borrow();
+    let follower = state.peers.info(query.follower);
+    let nearby = follower.is_some_and(|f| f.data_centre == node.settings.data_centre);
+    let cause = match nearby {
+        true => ByteCause::RelayNearby,
+        false => ByteCause::RelayRemote,
+    };
+    node.metrics.on_bytes(cause, bytes);
+}
+
 /// The result of a lookup in the copy of a kind.
 enum Lookup {
     /// The store has not answered this entry for too long.
@@ -264,21 +314,45 @@
     Changed(RelayedChanges),
 }
 
-fn path(kind: ObjectKind, after: Option<u64>) -> String {
-    match after {
-        None => format!("/relay/{kind}"),
-        Some(after) => format!("/relay/{kind}/{after}"),
-    }
+/// What a follower asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RelayQuery {
+    pub(crate) kind: ObjectKind,
+    /// Revision that it knows, or `None` for all objects.
+    pub(crate) after: Option<u64>,
+    /// How long the answer may wait for a change.
+    pub(crate) wait: Duration,
+    /// Short hash of its name.
+    pub(crate) follower: u32,
 }
 
-fn parse_path(path: &str) -> Option<(ObjectKind, Option<u64>)> {
-    let mut parts = path.strip_prefix("/relay/")?.split('/');
-    let name = parts.next()?;
-    let kind = ObjectKind::FOLLOWED
-        .into_iter()
-        .find(|k| k.to_string() == name)?;
-    let after = parts.next().map(str::parse).transpose().ok()?;
-    Some((kind, after))
+impl RelayQuery {
+    /// Returns the path and query of the request.
+    fn target(&self) -> String {
+        let Self { kind, follower, .. } = self;
+        let after = self.after.map_or_else(String::new, |a| format!("/{a}"));
+        let wait = self.wait.as_millis();
+        format!("/relay/{kind}{after}?wait={wait}&by={follower}")
+    }
+
+    /// Parses the path and query of a request.
+    fn parse(target: &str) -> Option<Self> {
+        let (path, query) = target.split_once('?')?;
+        let mut parts = path.strip_prefix("/relay/")?.split('/');
+        let name = parts.next()?;
+        let kind = ObjectKind::FOLLOWED
+            .into_iter()
+            .find(|k| k.to_string() == name)?;
+        let after = parts.next().map(str::parse).transpose().ok()?;
+        let value = |name| query.split('&').find_map(|p| p.strip_prefix(name));
+        let wait = Duration::from_millis(value("wait=")?.parse().ok()?);
+        Some(Self {
+            kind,
+            after,
+            wait: wait.min(LONG_POLL_TIMEOUT_WITH_HUBS),
+            follower: value("by=")?.parse().ok()?,
+        })
+    }
 }
 
 /// Why a relay cannot be followed.
@@ -302,8 +376,7 @@
 pub(crate) async fn fetch(
     connection: &mut Option<Connection>,
     address: SocketAddr,
-    kind: ObjectKind,
-    after: Option<u64>,
+    query: &RelayQuery,
 ) -> Result<Relayed, RelayError> {
     let mut open = match connection.take().filter(Connection::is_usable) {
         Some(open) => open,
@@ -312,12 +385,12 @@
             .map_err(RelayError::NoAnswer)?,
     };
     let mut request = Request::new(Full::default());
-    *request.uri_mut() = path(kind, after).parse().expect("the path is valid");
+    *request.uri_mut() = query.target().parse().expect("the target is valid");
     request
         .headers_mut()
         .insert(HOST, HeaderValue::from_static("relay"));
     let fetched = open
-        .fetch(request, LONG_POLL_TIMEOUT + ANSWER_MARGIN, MAX_ANSWER_BYTES)
+        .fetch(request, query.wait + ANSWER_MARGIN, MAX_ANSWER_BYTES)
         .await;
     let (status, body) = fetched.map_err(RelayError::NoAnswer)?;
     *connection = Some(open);
@@ -329,38 +402,7 @@
     let answer: RelayedChanges = serde_json::from_slice(&body).map_err(RelayError::Unreadable)?;
     Ok(Relayed {
         revision: answer.revision,
+        age: Duration::from_millis(answer.age_ms),
         updates: answer.changes.into_iter().map(RelayUpdate::from).collect(),
     })
 }
-
-/// Returns the entry that this one should follow, or `None` if it should watch the
-/// store itself. Relays in `avoid` are not considered.
-pub(crate) fn choose_relay(node: &Node, avoid: &[(Name, Time)]) -> Option<Name> {
-    let now = node.now();
-    let state = node.state.borrow();
-    let own = &node.settings.node;
-    let candidates = state
-        .peers
-        .live(now)
-        .filter(|p| p.update.synced && p.update.ready);
-    let mut entries: Vec<(u32, Name)> = candidates
-        .map(|p| (p.update.cpu_milli, p.update.node.clone()))
-        .collect();
-    if entries.is_empty() || state.has_store_contact(now, peers::MAX_STORE_AGE) {
-        entries.push((node.settings.cpu_milli, own.clone()));
-    }
-    // Entries with the most processor time come first; they have the fastest network
-    // links, too.
-    entries.sort_by_key(|(cpu, name)| (Reverse(*cpu), short_hash(name)));
-    let mut entries: Vec<Name> = entries.into_iter().map(|(_, name)| name).collect();
-    let watchers = MIN_WATCHERS.max(entries.len().div_ceil(MAX_FOLLOWERS));
-    entries.truncate(watchers);
-    if entries.contains(own) {
-        return None;
-    }
-    let start = short_hash(own) as usize % entries.len();
-    let mut turns = entries.iter().cycle().skip(start).take(entries.len());
-    turns
-        .find(|name| avoid.iter().all(|(a, _)| a != *name))
-        .cloned()
-}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,7 +17,7 @@
 use crate::serve::{self, ListenerRole, StopPhase};
 use crate::settings::Settings;
 use crate::state::Phase;
-use crate::{groups, sync};
+use crate::{groups, records, sync};
 
 /// Interval at which the queues and idle connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -110,9 +110,9 @@
         stopping,
     ));
     for kind in ObjectKind::FOLLOWED {
-        spawn_local(sync::follow(node.clone(), socket.clone(), kind));
+        spawn_local(sync::follow(node.clone(), kind));
     }
-    spawn_local(sync::register(node.clone()));
+    spawn_local(records::register(node.clone()));
     spawn_local(peers::publish_periodically(node.clone(), socket.clone()));
     spawn_local(peers::listen(node.clone(), socket.clone()));
     spawn_local(groups::plan_groups(node.clone()));
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -141,7 +141,9 @@
         ListenerRole::Callers => answer_caller(node, request).await,
         ListenerRole::Local => answer_local(node, &request),
         ListenerRole::Relay => {
-            let (status, body) = node.relay.answer(node, request.uri().path()).await;
+            let target = request.uri().path_and_query();
+            let target = target.map_or("/", |t| t.as_str());
+            let (status, body) = node.relay.answer(node, target).await;
             let mut response = Response::new(AnswerBody::complete(body));
             *response.status_mut() = status;
             response
@@ -163,10 +165,11 @@
 }
 
 fn answer_local(node: &Node, request: &Request<Incoming>) -> Response<AnswerBody> {
-    match node.dialect.local_call(request.uri().path()) {
+    let uri = request.uri();
+    match node.dialect.local_call(uri.path(), uri.query()) {
         Some(LocalCall::Ready) if node.is_ready() => status_only(StatusCode::OK),
         Some(LocalCall::Ready) => status_only(StatusCode::SERVICE_UNAVAILABLE),
-        Some(LocalCall::Directory) => match directory::answer(node) {
+        Some(LocalCall::Directory(centre)) => match directory::answer(node, centre.as_deref()) {
             Some(body) => {
                 let mut response = Response::new(AnswerBody::complete(body));
                 let json = HeaderValue::from_static("application/json");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -47,6 +47,8 @@
     pub node: Name,
     /// Data centre of this VM.
     pub data_centre: Name,
+    /// Whether the whole deployment starts for the first time.
+    pub bootstrap: bool,
     /// Processor time that the process may use, in thousandths of a core.
     pub cpu_milli: u32,
     /// The addresses on which it listens.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,9 +10,9 @@
 use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, Time, stable_hash};
 use bulrushhoist_fleet::{
     Batch, Candidate, Catalog, ColdLimiter, Endpoint, Engine, FirstEventLatency, Health,
-    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Name, PeerSettings,
-    PeerTable, PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
-    SlotLimit, Work, choose_leader, choose_plain_endpoint, max_event_gap,
+    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
+    PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget, SlotLimit,
+    Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -32,9 +32,9 @@
 /// entries, which may still reach the store.
 const STORE_FAILURE_BACKOFF: Duration = Duration::from_secs(3);
 
-/// Time after the start of the process during which some peers may not have sent their
-/// first message yet.
-const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
+/// Time after a failed call during which an entry doesn't count as one that reaches the
+/// store.
+const UNREACHED_TIME: Duration = Duration::from_secs(8);
 
 /// Factor on the published request rate of a cold endpoint before it is divided among the
 /// entries. Entries that are joining or restarting are not in their count yet.
@@ -87,9 +87,9 @@
     pub(crate) has_roster: bool,
     pub(crate) roster: Roster,
     pub(crate) monitor: HealthMonitor,
-    pub(crate) peers: PeerTable,
-    /// Number of other entries that are registered in the store, alive or not.
-    pub(crate) registered_peers: usize,
+    pub(crate) peers: Membership,
+    /// Whether the records of the other entries have been listed.
+    pub(crate) has_entries: bool,
     /// Requests of this entry, by endpoint.
     pub(crate) loads: HashMap<Name, LocalLoad>,
     /// Limits on the requests that this entry sends to cold endpoints, by endpoint.
@@ -104,6 +104,8 @@
     pub(crate) last_store_contact: Option<Time>,
     /// When a call of the planner to the store last failed.
     pub(crate) last_store_failure: Option<Time>,
+    /// When the store last failed to answer this entry, if it hasn't answered since.
+    pub(crate) unreached_since: Option<Time>,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
     /// Whether this entry is the one that plans groups.
@@ -113,21 +115,8 @@
     pub(crate) rng: SmallRng,
 }
 
-/// Offset basis of the 32-bit FNV-1a hash.
-const FNV_OFFSET: u32 = 0x811c_9dc5;
-/// Prime of the 32-bit FNV-1a hash.
-const FNV_PRIME: u32 = 0x0100_0193;
-
-/// Returns the 32-bit hash that stands for an endpoint's name in messages between
-/// entries, to keep them within one datagram.
-pub(crate) fn short_hash(id: &str) -> u32 {
-    id.bytes().fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
-    })
-}
-
 impl State {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, peers: Membership) -> Self {
         Self {
             phase: Phase::Serving,
             catalog: Rc::default(),
@@ -135,8 +124,8 @@
             has_roster: false,
             roster: Roster::default(),
             monitor: HealthMonitor::new(HealthSettings::default()),
-            peers: PeerTable::new(PeerSettings::default()),
-            registered_peers: 0,
+            peers,
+            has_entries: false,
             loads: HashMap::new(),
             cold: HashMap::new(),
             queues: HashMap::new(),
@@ -145,6 +134,7 @@
             suspicions: HashMap::new(),
             last_store_contact: None,
             last_store_failure: None,
+            unreached_since: None,
             traffic_seen: false,
             planning: false,
             last_queue_id: 0,
@@ -179,7 +169,7 @@
             false => 1.0,
         };
         let own = self.monitor.slowdown(now, &leader.id, leader.incarnation);
-        let reported = self.peers.slowdown(now, short_hash(&leader.id));
+        let reported = self.peers.slowdown(name_key(&leader.id));
         domain_factor.max(own).max(reported)
     }
 
@@ -203,7 +193,7 @@
     /// Returns the requests that all entries have in flight at an endpoint.
     fn batch(&self, now: Time, id: &Name) -> Batch {
         let own = self.loads.get(id).copied().unwrap_or_default();
-        let (requests, prefill_tokens) = self.peers.load(now, short_hash(id));
+        let (requests, prefill_tokens) = self.peers.load(now, name_key(id));
         Batch {
             requests: f64::from(own.requests + requests),
             prefill_tokens: f64::from(own.prefill_tokens + prefill_tokens),
@@ -215,24 +205,25 @@
         self.monitor.health(now, &endpoint.id, endpoint.incarnation)
     }
 
-    /// Returns the number of entries that may have requests at endpoints. An entry that has
-    /// just started counts the registered ones, since most have not sent it a message yet.
+    /// Returns whether the store accepts this entry's calls, as far as it knows.
+    pub(crate) fn reaches_store(&self, now: Time) -> bool {
+        let failed = self.unreached_since;
+        failed.is_none_or(|t| now.since(t) >= UNREACHED_TIME)
+    }
+
+    /// Returns the number of entries that may have requests at endpoints.
     fn entries(&self, now: Time) -> usize {
-        let known = self.peers.entry_count(now);
-        match now < Time::ZERO + PEER_DISCOVERY_TIME {
-            true => known.max(1 + self.registered_peers),
-            false => known,
-        }
+        self.peers.entry_count(now)
     }
 
     /// Returns whether this entry has used up its share of a model's slots before it has
     /// received the loads of all other entries. The share prevents overload after a restart
     /// of all entries, when each of them sees only idle leaders.
     fn is_share_used(&self, now: Time, engine: &Engine, leaders: &[Candidate]) -> bool {
-        let entries = self.entries(now);
-        if entries <= self.peers.entry_count(now) {
+        if self.peers.is_settled(now) {
             return false;
         }
+        let entries = self.entries(now);
         let own = leaders.iter().filter_map(|c| self.loads.get(&c.id));
         let own: u32 = own.map(|l| l.requests).sum();
         let slots = leaders.len() as f64 * f64::from(engine.slots);
@@ -291,7 +282,7 @@
         let entries = self.entries(now);
         let queue = self.queues.get(key);
         let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
-        let interval = self.peers.interval().as_secs_f64();
+        let interval = self.peers.view_age().as_secs_f64();
         let settings = LeaderChoiceSettings {
             entries,
             // Callers choose entries at random, so each entry has about the same rate.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -8,15 +8,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, GroupState, LeaderChoice, Name, QueuedRequest, SlotLimit};
+use bulrushhoist_fleet::{Endpoint, GroupState, LeaderChoice, Name, SlotLimit};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use slog::info;
 use smallvec::SmallVec;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
 use crate::body::Truncated;
@@ -25,7 +24,7 @@
 use crate::events::{EventSplitter, Events};
 use crate::node::Node;
 use crate::outcome::{Refusal, RetryCause};
-use crate::state::ModelKey;
+use crate::waiting::await_leader;
 
 /// Chunks that may be queued for a slow caller. When the queue is full, the endpoint's
 /// stream is not read on, which passes the back-pressure to the endpoint.
@@ -102,8 +101,11 @@
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let retried = progress.runs + progress.refusals > 0;
-        let endpoint = match await_leader(node, call, progress, retried).await {
-            Ok(endpoint) => endpoint,
+        let endpoint = match await_leader(node, call, &progress.tried, retried).await {
+            Ok((endpoint, waited)) => {
+                progress.waited += waited;
+                endpoint
+            }
             Err(reason) => return Err(if retried { refusal } else { reason }),
         };
         if retried {
@@ -147,115 +149,6 @@
     }
 }
 
-/// Guard that takes a request out of its queue, also when its caller disconnects.
-struct QueueGuard<'n> {
-    node: &'n Node,
-    key: &'n ModelKey,
-    id: u64,
-}
-
-impl Drop for QueueGuard<'_> {
-    fn drop(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        let queue = state.queue(self.key);
-        queue.waiting.remove(self.id);
-        queue.wakers.remove(&self.id);
-    }
-}
-
-/// Chooses a leader for the call, and waits in the queue while all are full.
-///
-/// A call that was sent to a leader before is tried ahead of the queued requests.
-async fn await_leader(
-    node: &Rc<Node>,
-    call: &Call,
-    progress: &mut Progress,
-    retried: bool,
-) -> Result<Endpoint, Refusal> {
-    let avoid = progress.tried.clone();
-    let model = call.model.clone().ok_or(Refusal::BadRequest)?;
-    let key = (call.service.clone(), model);
-    let since = node.now();
-    let mut woken = retried;
-    loop {
-        let now = node.now();
-        if now >= call.deadline {
-            return Err(Refusal::TimedOut);
-        }
-        let waiter = {
-            let mut state = node.state.borrow_mut();
-            let queue = state.queue(&key);
-            let first = queue.first_events.estimate();
-            let late = !retried && now + first > call.objective();
-            // A request that can still meet its objective need not wait behind late ones.
-            let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
-            let placed = match must_wait {
-                true => LeaderChoice::Full,
-                false => {
-                    let slot_limit = if late {
-                        SlotLimit::Unreserved
-                    } else {
-                        SlotLimit::All
-                    };
-                    let centre = &node.settings.data_centre;
-                    state.choose_leader(now, centre, &key, call.work, slot_limit, &avoid)
-                }
-            };
-            match placed {
-                LeaderChoice::Leader(id, _) => {
-                    state.queue(&key).waiting.on_start(now);
-                    let found = state.roster.get(&id).cloned();
-                    progress.waited += now.since(since);
-                    node.metrics.on_wait(now.since(since));
-                    return found.ok_or(Refusal::NoEndpoint);
-                }
-                LeaderChoice::Unavailable => return Err(Refusal::NoEndpoint),
-                LeaderChoice::Full => join_queue(&mut state, now, &key, call)?,
-            }
-        };
-        let (id, waiter) = waiter;
-        let guard = QueueGuard {
-            node,
-            key: &key,
-            id,
-        };
-        let limit = node.clock.instant(call.deadline);
-        let outcome = tokio::time::timeout_at(limit, waiter).await;
-        drop(guard);
-        woken = match outcome {
-            Ok(Ok(true)) => true,
-            Ok(_) => return Err(Refusal::WaitedOut),
-            Err(_) => return Err(Refusal::TimedOut),
-        };
-    }
-}
-
-/// Adds the call to its queue. Returns its id there and the receiver that wakes it.
-fn join_queue(
-    state: &mut crate::state::State,
-    now: Time,
-    key: &ModelKey,
-    call: &Call,
-) -> Result<(u64, oneshot::Receiver<bool>), Refusal> {
-    state.last_queue_id += 1;
-    let id = state.last_queue_id;
-    let queue = state.queue(key);
-    let request = QueuedRequest {
-        id,
-        priority: call.priority,
-        received: call.received,
-        objective: call.objective(),
-        deadline: call.deadline,
-    };
-    queue
-        .waiting
-        .enqueue(now, request)
-        .map_err(|_| Refusal::LineFull)?;
-    let (waker, waiter) = oneshot::channel();
-    queue.wakers.insert(id, waker);
-    Ok((id, waiter))
-}
-
 /// Returns how long to wait in the next attempt. A stall does not end the last attempt
 /// that is allowed, since nothing could follow it.
 fn wait_policy(call: &Call, progress: &Progress) -> WaitPolicy {
@@ -417,6 +310,7 @@
             continue;
         };
         node.on_activity(&endpoint.id, endpoint.incarnation);
+        node.on_call_bytes(endpoint, data.len());
         match splitter.push(&data) {
             Ok(Some(events)) => return Ok(Some(events)),
             Ok(None) => {}
--- /dev/null
+++ b/crates/entry/src/waiting.rs
@@ -0,0 +1,122 @@
+//! Waits until a leader can take a streaming call.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit};
+use tokio::sync::oneshot;
+
+use crate::call::Call;
+use crate::node::Node;
+use crate::outcome::Refusal;
+use crate::state::{ModelKey, State};
+
+/// Guard that takes a request out of its queue, also when its caller disconnects.
+struct QueueGuard<'n> {
+    node: &'n Node,
+    key: &'n ModelKey,
+    id: u64,
+}
+
+impl Drop for QueueGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        let queue = state.queue(self.key);
+        queue.waiting.remove(self.id);
+        queue.wakers.remove(&self.id);
+    }
+}
+
+/// Chooses a leader for the call that isn't in `avoid`, and waits in the queue while all
+/// are full. Returns the leader and how long the call has waited.
+///
+/// A call that was sent to a leader before is tried ahead of the queued requests.
+pub(crate) async fn await_leader(
+    node: &Rc<Node>,
+    call: &Call,
+    avoid: &[Name],
+    retried: bool,
+) -> Result<(Endpoint, Duration), Refusal> {
+    let model = call.model.clone().ok_or(Refusal::BadRequest)?;
+    let key = (call.service.clone(), model);
+    let since = node.now();
+    let mut woken = retried;
+    loop {
+        let now = node.now();
+        if now >= call.deadline {
+            return Err(Refusal::TimedOut);
+        }
+        let waiter = {
+            let mut state = node.state.borrow_mut();
+            let queue = state.queue(&key);
+            let first = queue.first_events.estimate();
+            let late = !retried && now + first > call.objective();
+            // A request that can still meet its objective need not wait behind late ones.
+            let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
+            let placed = match must_wait {
+                true => LeaderChoice::Full,
+                false => {
+                    let slot_limit = if late {
+                        SlotLimit::Unreserved
+                    } else {
+                        SlotLimit::All
+                    };
+                    let centre = &node.settings.data_centre;
+                    state.choose_leader(now, centre, &key, call.work, slot_limit, avoid)
+                }
+            };
+            match placed {
+                LeaderChoice::Leader(id, _) => {
+                    state.queue(&key).waiting.on_start(now);
+                    let found = state.roster.get(&id).cloned();
+                    let waited = now.since(since);
+                    node.metrics.on_wait(waited);
+                    return found.map(|e| (e, waited)).ok_or(Refusal::NoEndpoint);
+                }
+                LeaderChoice::Unavailable => return Err(Refusal::NoEndpoint),
+                LeaderChoice::Full => join_queue(&mut state, now, &key, call)?,
+            }
+        };
+        let (id, waiter) = waiter;
+        let guard = QueueGuard {
+            node,
+            key: &key,
+            id,
+        };
+        let limit = node.clock.instant(call.deadline);
+        let outcome = tokio::time::timeout_at(limit, waiter).await;
+        drop(guard);
+        woken = match outcome {
+            Ok(Ok(true)) => true,
+            Ok(_) => return Err(Refusal::WaitedOut),
+            Err(_) => return Err(Refusal::TimedOut),
+        };
+    }
+}
+
+/// Adds the call to its queue. Returns its id there and the receiver that wakes it.
+fn join_queue(
+    state: &mut State,
+    now: Time,
+    key: &ModelKey,
+    call: &Call,
+) -> Result<(u64, oneshot::Receiver<bool>), Refusal> {
+    state.last_queue_id += 1;
+    let id = state.last_queue_id;
+    let queue = state.queue(key);
+    let request = QueuedRequest {
+        id,
+        priority: call.priority,
+        received: call.received,
+        objective: call.objective(),
+        deadline: call.deadline,
+    };
+    queue
+        .waiting
+        .enqueue(now, request)
+        .map_err(|_| Refusal::LineFull)?;
+    let (waker, waiter) = oneshot::channel();
+    queue.wakers.insert(id, waker);
+    Ok((id, waiter))
+}
--- /dev/null
+++ b/crates/entry/tests/unit/peer_messages.rs
@@ -0,0 +1,97 @@
+//! Tests of the messages between entries: what is written is read, and nothing else is.
+
+use bulrushhoist_core::Fingerprint;
+use bulrushhoist_fleet::{
+    Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope, Sender, SlowLeader,
+    Suspicion,
+};
+
+use super::{PeerMessage, decode, encode_digest, encode_report};
+use crate::peers::MAX_DATAGRAM_BYTES;
+
+const SENDER: Sender = Sender {
+    key: 7,
+    incarnation: u64::MAX,
+    sequence: 1 << 40,
+};
+
+fn news(loads: u32) -> News {
+    News {
+        loads: (0..loads)
+            .map(|key| EndpointLoad {
+                key: key | 1 << 31,
+                requests: 22,
+                prefill_tokens: 30_000,
+            })
+            .collect(),
+        suspects: vec![Suspicion {
+            endpoint: "i-4759fbbb1c".into(),
+            incarnation: 1_764_860_000_000,
+        }],
+        slow: vec![SlowLeader {
+            key: 3,
+            slowdown: 2.5,
+        }],
+        strikes: vec![(Fingerprint::from(9), 8)],
+    }
+}
+
+fn entries(count: u32) -> Vec<EntryStatus> {
+    let bits = |key: u32| (key % 16) as u8;
+    let keys = 0..count;
+    keys.map(|key| EntryStatus::from_bits(key, bits(key)))
+        .collect()
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let report = Report {
+        sender: SENDER,
+        status: EntryStatus::from_bits(7, 0b1011),
+        digests: DigestRate::Reduced,
+        known_entries: 5,
+        news: news(3),
+    };
+    let Some(PeerMessage::Report(read)) = decode(&encode_report(&report)) else {
+        panic!("not understood");
+    };
+    assert_eq!(read, report);
+}
+
+/// Guards against digests that no longer fit into a datagram: the largest deployment that
+/// the project aims at has 1,432 entries and about 1,000 leaders.
+#[test]
+fn the_largest_digest_fits_into_a_datagram() {
+    let digest = Digest {
+        sender: SENDER,
+        scope: Scope::Deployment,
+        entries: Some(entries(1_432)),
+        news: news(1_000),
+    };
+    let bytes = encode_digest(&digest);
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    let Some(PeerMessage::Digest(read)) = decode(&bytes) else {
+        panic!("not understood");
+    };
+    assert_eq!(read, digest);
+}
+
+/// Guards against a cut or foreign datagram that is taken for a message, or that stops the
+/// process.
+#[test]
+fn cut_and_foreign_datagrams_are_not_understood() {
+    let digest = Digest {
+        sender: SENDER,
+        scope: Scope::DataCentre,
+        entries: Some(entries(40)),
+        news: news(40),
+    };
+    let bytes = encode_digest(&digest);
+    for length in 0..bytes.len() {
+        assert!(decode(&bytes[..length]).is_none(), "{length} bytes");
+    }
+    for length in 0..200_usize {
+        let noise: Vec<u8> = (0..length).map(|i| (i * 131 + length * 17) as u8).collect();
+        assert!(decode(&noise).is_none(), "{noise:?}");
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,11 +7,12 @@
 //! `docs/SYSTEM.md`.
 
 mod catalog;
+mod directory;
 mod endpoint;
 mod health;
 mod leader_choice;
+mod membership;
 mod orders;
-mod peers;
 mod plain;
 mod plan;
 mod planner;
@@ -23,14 +24,19 @@
 pub use catalog::{
     CallKind, CallerLimits, Catalog, Denial, Engine, Model, Route, Service, Target, Team,
 };
+pub use directory::{DirectoryEntry, draw_addresses};
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
 pub use health::{Health, HealthMonitor, HealthSettings};
 pub use leader_choice::{
     ASSUMED_COLD_TIME, Candidate, ColdLimiter, LeaderChoice, LeaderChoiceSettings, SlotLimit,
     assumed_cold_time, choose_leader,
 };
+pub use membership::{
+    Digest, DigestRate, EndpointLoad, EntryInfo, EntryStatus, Membership, MembershipSettings, News,
+    Outgoing, OwnNews, Recipient, RelayChoice, Report, Role, Scope, Sender, SlowLeader, Suspicion,
+    entries_hash,
+};
 pub use orders::{Order, OrderAnswer, OrderKind};
-pub use peers::{EndpointLoad, Peer, PeerSettings, PeerTable, PeerUpdate, SlowLeader, Suspicion};
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
 pub use plan::{GroupPlan, MemberPlan, Plan};
 pub use planner::{LoadLimits, Planner, PlannerAction, PlannerSettings, VmView, vm_views};
@@ -41,3 +47,21 @@
 
 /// A name, reference-counted because many records share it.
 pub type Name = std::sync::Arc<str>;
+
+/// Offset basis of the 32-bit FNV-1a hash.
+const FNV_OFFSET: u32 = 0x811c_9dc5;
+/// Prime of the 32-bit FNV-1a hash.
+const FNV_PRIME: u32 = 0x0100_0193;
+
+fn fnv_hash(bytes: impl Iterator<Item = u8>) -> u32 {
+    bytes.fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// Returns the 32-bit hash that stands for a name in messages between entries, to keep
+/// them within one datagram.
+#[must_use]
+pub fn name_key(name: &str) -> u32 {
+    fnv_hash(name.bytes())
+}
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -4,13 +4,14 @@
 //! its return. So a removal that is seen during or just after an outage takes effect
 //! only after a grace period. A removal at any other time takes effect at once.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
+use smallvec::SmallVec;
 
 use crate::Name;
-use crate::endpoint::{Endpoint, EndpointPhase};
+use crate::endpoint::{Endpoint, EndpointPhase, GroupState};
 
 /// Time after the store's return within which endpoints renew expired records.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
@@ -33,6 +34,76 @@
     Same,
 }
 
+/// Number of members by fabric domain.
+type DomainCounts = SmallVec<[(Name, usize); 2]>;
+
+/// What requests look up, changed with each record: a decision must not cost a pass over
+/// all endpoints.
+#[derive(Debug, Default)]
+struct Index {
+    by_service: HashMap<Name, HashSet<Name>>,
+    /// Leaders of open groups by service and model.
+    leaders: HashMap<Name, HashMap<Name, HashSet<Name>>>,
+    /// Number of members by group, with its epoch, and fabric domain.
+    domains: HashMap<(Name, u64), DomainCounts>,
+}
+
+impl Index {
+    fn insert(&mut self, endpoint: &Endpoint) {
+        let service = self.by_service.entry(endpoint.service.clone());
+        service.or_default().insert(endpoint.id.clone());
+        if let Some(model) = led_model(endpoint) {
+            let service = self.leaders.entry(endpoint.service.clone()).or_default();
+            let leaders = service.entry(model.clone()).or_default();
+            leaders.insert(endpoint.id.clone());
+        }
+        let Some(membership) = &endpoint.membership else {
+            return;
+        };
+        let group = (membership.group.clone(), membership.epoch);
+        let domains = self.domains.entry(group).or_default();
+        match domains.iter_mut().find(|(d, _)| *d == endpoint.domain) {
+            Some((_, count)) => *count += 1,
+            None => domains.push((endpoint.domain.clone(), 1)),
+        }
+    }
+
+    fn remove(&mut self, endpoint: &Endpoint) {
+        if let Some(service) = self.by_service.get_mut(&endpoint.service) {
+            service.remove(&endpoint.id);
+        }
+        if let Some(model) = led_model(endpoint)
+            && let Some(service) = self.leaders.get_mut(&endpoint.service)
+            && let Some(leaders) = service.get_mut(model)
+        {
+            leaders.remove(&endpoint.id);
+        }
+        let Some(membership) = &endpoint.membership else {
+            return;
+        };
+        let group = (membership.group.clone(), membership.epoch);
+        let Some(domains) = self.domains.get_mut(&group) else {
+            return;
+        };
+        for (domain, count) in domains.iter_mut() {
+            if *domain == endpoint.domain {
+                *count -= 1;
+            }
+        }
+        domains.retain(|(_, count)| *count > 0);
+        if domains.is_empty() {
+            self.domains.remove(&group);
+        }
+    }
+}
+
+/// Returns the model whose requests an endpoint accepts as the leader of an open group.
+fn led_model(endpoint: &Endpoint) -> Option<&Name> {
+    let membership = endpoint.membership.as_ref()?;
+    let open = membership.is_leader() && membership.state == GroupState::Open;
+    endpoint.model.as_ref().filter(|_| open)
+}
+
 /// The last known record of every endpoint.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -43,8 +114,7 @@
     /// store goes on as a member of its group.
     unlisted: HashMap<Name, (Endpoint, Time)>,
     evacuated: BTreeSet<Name>,
-    /// Groups with members in several fabric domains, with their epochs.
-    cross_domain: BTreeSet<(Name, u64)>,
+    index: Index,
     store_lost: bool,
     /// When the store last answered again after an outage or after the start.
     store_back: Option<Time>,
@@ -55,54 +125,33 @@
     pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
         self.removals.remove(&endpoint.id);
         self.unlisted.remove(&endpoint.id);
-        let id = endpoint.id.clone();
-        let change = self.replace(id, endpoint);
-        if change != RosterChange::Same {
-            self.find_cross_domain_groups();
-        }
-        change
-    }
-
-    fn replace(&mut self, id: Name, endpoint: Endpoint) -> RosterChange {
-        match self.endpoints.insert(id, endpoint) {
-            None => RosterChange::Added,
-            Some(old) => {
-                let new = &self.endpoints[&old.id];
-                if new.incarnation != old.incarnation {
-                    RosterChange::Restarted
-                } else if *new == old {
-                    RosterChange::Same
-                } else {
-                    RosterChange::Updated
-                }
-            }
+        if let Some(old) = self.endpoints.get(&endpoint.id) {
+            self.index.remove(old);
         }
-    }
-
-    fn find_cross_domain_groups(&mut self) {
-        let mut domains: HashMap<(&Name, u64), &Name> = HashMap::new();
-        let mut cross_domain = BTreeSet::new();
-        for endpoint in self.endpoints.values() {
-            let Some(membership) = &endpoint.membership else {
-                continue;
-            };
-            let group = (&membership.group, membership.epoch);
-            let first = *domains.entry(group).or_insert(&endpoint.domain);
-            if *first != endpoint.domain {
-                cross_domain.insert((membership.group.clone(), membership.epoch));
-            }
+        self.index.insert(&endpoint);
+        let id = endpoint.id.clone();
+        let Some(old) = self.endpoints.insert(id, endpoint) else {
+            return RosterChange::Added;
+        };
+        let new = &self.endpoints[&old.id];
+        if new.incarnation != old.incarnation {
+            RosterChange::Restarted
+        } else if *new == old {
+            RosterChange::Same
+        } else {
+            RosterChange::Updated
         }
-        self.cross_domain = cross_domain;
     }
 
     /// Returns whether a leader's group has members in several fabric domains.
     #[must_use]
     pub fn spans_domains(&self, leader: &Endpoint) -> bool {
-        let group = leader
-            .membership
-            .as_ref()
-            .map(|m| (m.group.clone(), m.epoch));
-        group.is_some_and(|g| self.cross_domain.contains(&g))
+        let Some(membership) = &leader.membership else {
+            return false;
+        };
+        let group = (membership.group.clone(), membership.epoch);
+        let domains = self.index.domains.get(&group);
+        domains.is_some_and(|domains| domains.len() > 1)
     }
 
     /// Handles the removal of an endpoint's record from the store. Returns whether it
@@ -123,6 +172,7 @@
         self.unlisted
             .retain(|_, (_, since)| now.since(*since) < UNLISTED_TTL);
         if let Some((name, endpoint)) = self.endpoints.remove_entry(id) {
+            self.index.remove(&endpoint);
             self.unlisted.insert(name, (endpoint, now));
         }
     }
@@ -233,32 +283,28 @@
         self.endpoints.get(id)
     }
 
-    /// Returns an endpoint's record for an update from a report of the endpoint.
-    pub fn get_mut(&mut self, id: &str) -> Option<&mut Endpoint> {
-        self.endpoints.get_mut(id)
-    }
-
     /// Returns every listed endpoint.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values()
     }
 
     /// Returns the endpoints of a service that may get new work.
-    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
-        let all = self.endpoints.values();
-        all.filter(move |e| &*e.service == service && self.accepts_work(e))
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+        let ids = self.index.by_service.get(service);
+        self.accepting(ids.into_iter().flatten())
     }
 
     /// Returns the leaders of a model's open groups that may get new work.
-    pub fn leaders<'a>(
+    pub fn leaders(&self, service: &str, model: &str) -> impl Iterator<Item = &Endpoint> {
+        let ids = self.index.leaders.get(service).and_then(|m| m.get(model));
+        self.accepting(ids.into_iter().flatten())
+    }
+
+    fn accepting<'a>(
         &'a self,
-        service: &'a str,
-        model: &'a str,
+        ids: impl Iterator<Item = &'a Name>,
     ) -> impl Iterator<Item = &'a Endpoint> {
-        self.of_service(service).filter(move |e| {
-            let open = e.membership.as_ref();
-            let open = open.is_some_and(|m| m.is_leader() && m.state == crate::GroupState::Open);
-            open && e.model.as_deref() == Some(model)
-        })
+        let all = ids.filter_map(|id| self.endpoints.get(id));
+        all.filter(|e| self.accepts_work(e))
     }
 }
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -5,92 +5,135 @@
 use std::time::Duration;
 
 use bulrushhoist_fleet::{
-    EndpointLoad, Health, HealthMonitor, HealthSettings, PeerSettings, PeerTable, PeerUpdate,
-    SharedRetryBudget, SharedRetryBudgetSettings,
+    DigestRate, EndpointLoad, EntryInfo, EntryStatus, Health, HealthMonitor, HealthSettings,
+    Membership, MembershipSettings, News, Report, Sender, SharedRetryBudget,
+    SharedRetryBudgetSettings, name_key,
 };
 use support::ms;
 
-fn update(node: &str, sequence: u64) -> PeerUpdate {
-    PeerUpdate {
-        node: node.into(),
-        incarnation: 1,
-        sequence,
-        caller_address: "127.0.0.1:80".parse().unwrap(),
-        cpu_milli: 250,
-        slow: Vec::new(),
+fn entry(name: &str, cpu_milli: u32) -> EntryInfo {
+    EntryInfo {
+        name: name.into(),
+        data_centre: "dc-a".into(),
+        peers: "127.0.0.1:81".parse().unwrap(),
+        callers: "127.0.0.1:80".parse().unwrap(),
+        cpu_milli,
+    }
+}
+
+fn status(name: &str, planning: bool) -> EntryStatus {
+    EntryStatus {
+        key: name_key(name),
         ready: true,
         synced: true,
-        planning: false,
-        loads: vec![EndpointLoad {
-            key: 9,
-            requests: 3,
-            prefill_tokens: 1_000,
-        }],
-        suspects: Vec::new(),
-        strikes: Vec::new(),
+        planning,
+        reaches_store: true,
     }
 }
 
-fn table() -> PeerTable {
-    PeerTable::new(PeerSettings::default())
+fn report(node: &str, sequence: u64) -> Report {
+    Report {
+        sender: Sender {
+            key: name_key(node),
+            incarnation: 1,
+            sequence,
+        },
+        status: status(node, false),
+        digests: DigestRate::None,
+        known_entries: 0,
+        news: News {
+            loads: vec![EndpointLoad {
+                key: 9,
+                requests: 3,
+                prefill_tokens: 1_000,
+            }],
+            ..News::default()
+        },
+    }
+}
+
+/// Returns the membership of one entry that knows the records of the others.
+fn membership(own: &str, cpu_milli: u32, others: &[&str]) -> Membership {
+    let own = entry(own, cpu_milli);
+    let mut membership = Membership::new(MembershipSettings::default(), own, ms(0));
+    for name in others {
+        membership.register(ms(0), entry(name, 250));
+    }
+    membership.refresh(ms(0));
+    membership
 }
 
 #[test]
-fn older_update_of_the_same_run_is_ignored() {
-    // Updates may arrive out of order. An older one must not replace a newer one, but a
+fn older_report_of_the_same_run_is_ignored() {
+    // Reports may arrive out of order. An older one must not replace a newer one, but a
     // restarted peer counts from 1 again.
-    let mut table = table();
-    assert!(table.record(ms(0), update("b", 5)));
-    assert!(!table.record(ms(1), update("b", 4)));
-    let mut restarted = update("b", 1);
-    restarted.incarnation = 2;
-    assert!(table.record(ms(2), restarted));
+    let mut membership = membership("a", 250, &["b"]);
+    assert!(membership.on_report(ms(0), report("b", 5)));
+    assert!(!membership.on_report(ms(1), report("b", 4)));
+    let mut restarted = report("b", 1);
+    restarted.sender.incarnation = 2;
+    assert!(membership.on_report(ms(2), restarted));
+    assert_eq!(
+        membership.load(ms(2), 9),
+        (3, 1_000),
+        "each load counts once"
+    );
 }
 
 #[test]
 fn load_of_dead_peers_is_ignored() {
     // The requests of a dead entry end. Their last reported load would keep leaders looking
     // full.
-    let mut table = table();
-    table.record(ms(0), update("b", 1));
-    table.record(ms(0), update("c", 1));
-    assert_eq!(table.load(ms(100), 9), (6, 2_000));
-    table.record(ms(2_000), update("c", 2));
-    assert_eq!(table.load(ms(2_000), 9), (3, 1_000));
-    assert_eq!(table.entry_count(ms(2_000)), 3);
+    let mut membership = membership("a", 250, &["b", "c"]);
+    membership.on_report(ms(0), report("b", 1));
+    membership.on_report(ms(0), report("c", 1));
+    assert_eq!(membership.load(ms(100), 9), (6, 2_000));
+    for tick in 1..10 {
+        membership.on_report(ms(tick * 200), report("c", 1 + tick));
+        membership.tick(ms(tick * 200));
+    }
+    assert_eq!(membership.load(ms(2_000), 9), (3, 1_000));
+    assert_eq!(membership.entry_count(ms(2_000)), 3);
 }
 
 #[test]
 fn entry_that_plans_goes_on_planning() {
     // Of several planners at a time, all but one fail to store their plans, and each change of
     // the planner costs a takeover. So exactly one synced entry plans, and it keeps doing so.
-    let mut table = table();
-    table.record(ms(0), update("a", 1));
+    let mut first = membership("b", 250, &["a"]);
+    first.on_report(ms(0), report("a", 1));
     assert!(
-        !table.may_plan(ms(0), ("b", 250), true, false),
+        !first.may_plan(ms(0), status("b", false)),
         "the lowest name goes first"
     );
     assert!(
-        table.may_plan(ms(0), ("b", 250), true, true),
+        first.may_plan(ms(0), status("b", true)),
         "an entry that plans goes on"
     );
-    let mut planning = update("a", 2);
-    planning.planning = true;
-    table.record(ms(0), planning);
+    let mut planning = report("a", 2);
+    planning.status.planning = true;
+    first.on_report(ms(0), planning.clone());
     assert!(
-        !table.may_plan(ms(0), ("b", 250), true, true),
+        !first.may_plan(ms(0), status("b", true)),
         "of two that plan, the lowest name goes on"
     );
+    let mut lower = membership("0", 250, &["a"]);
+    lower.on_report(ms(0), planning);
     assert!(
-        !table.may_plan(ms(0), ("0", 250), true, false),
+        !lower.may_plan(ms(0), status("0", false)),
         "an entry that doesn't plan yet doesn't take over"
     );
+    for tick in 1..=25 {
+        first.tick(ms(tick * 200));
+    }
     assert!(
-        table.may_plan(ms(5_000), ("b", 250), true, false),
+        first.may_plan(ms(5_000), status("b", false)),
         "dead peers don't count"
     );
+    let mut unsynced = status("b", false);
+    unsynced.synced = false;
     assert!(
-        !table.may_plan(ms(5_000), ("b", 250), false, false),
+        !first.may_plan(ms(5_000), unsynced),
         "an entry that isn't synced doesn't plan"
     );
 }
@@ -161,10 +204,10 @@
 #[test]
 fn larger_vm_plans_before_a_smaller_one() {
     // Guards against planning on a small VM while an entry on a larger one is live.
-    let mut table = table();
-    table.record(ms(0), update("a", 1));
-    let large = ("b", 500);
-    assert!(table.may_plan(ms(0), large, true, false));
-    let small = ("0", 125);
-    assert!(!table.may_plan(ms(0), small, true, false));
+    let mut large = membership("b", 500, &["a"]);
+    large.on_report(ms(0), report("a", 1));
+    assert!(large.may_plan(ms(0), status("b", false)));
+    let mut small = membership("0", 125, &["a"]);
+    small.on_report(ms(0), report("a", 1));
+    assert!(!small.may_plan(ms(0), status("0", false)));
 }
