Reload the settings on SIGHUP

SIGHUP was logged as not supported. Now the file is read and checked whole; bounds take effect at once, other changes are logged as waiting for a restart, and with any invalid value the last settings stay in force and the log names it.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -34,6 +34,6 @@
         });
     }
     let addresses = draw_addresses(&entries, data_centre, &mut state.rng);
-    let ttl = TTL.min(settings.bounds.max_ttl);
+    let ttl = TTL.min(node.bounds.get().max_ttl);
     (!addresses.is_empty()).then(|| node.dialect.encode_directory(&addresses, ttl))
 }
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -256,7 +256,7 @@
     /// Sends orders to their endpoints, each in a task of its own, so that an order
     /// without an answer does not delay the others.
     fn send_orders(self: &Rc<Self>, plan: &Plan, orders: Vec<Order>) {
-        let fencing_token = self.node.settings.bounds.fencing.then_some(plan.epoch);
+        let fencing_token = self.node.bounds.get().fencing.then_some(plan.epoch);
         for order in orders {
             let found = self
                 .node
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -41,4 +41,4 @@
 };
 pub use logging::logger;
 pub use run::{StartError, run};
-pub use settings::{Bounds, Listen, Settings, StoreSettings};
+pub use settings::{Bounds, Listen, ReadSettings, Settings, StoreSettings};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! The process has one thread, so the state needs no lock.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
 use crate::relay::Relay;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 use crate::state::{Phase, State};
 use crate::store::StoreClient;
 
@@ -37,6 +37,8 @@
 /// The settings, state, clients and connections of one entry.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    /// The bounds in force, which a reload may change.
+    pub(crate) bounds: Cell<Bounds>,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
@@ -69,6 +71,7 @@
         let peers = Membership::new(MembershipSettings::default(), own, clock.now());
         let state = State::new(seed, peers);
         Self {
+            bounds: Cell::new(settings.bounds),
             settings,
             dialect,
             log,
@@ -99,7 +102,7 @@
         let Phase::Leaving { since } = self.state.borrow().phase else {
             return false;
         };
-        let stop = since + self.settings.bounds.grace;
+        let stop = since + self.bounds.get().grace;
         self.now().since(since) >= FULL_SERVICE_TIME && end + EXIT_MARGIN > stop
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -46,7 +46,7 @@
             && !node
                 .state
                 .borrow_mut()
-                .take_retry(now, &call.service, &node.settings)
+                .take_retry(now, &call.service, node.bounds.get().retries)
         {
             return failure.ok_or(refusal);
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -15,7 +15,7 @@
 use crate::node::{EXIT_MARGIN, Node};
 use crate::peers::{self, PeerSocket};
 use crate::serve::{self, ListenerRole, StopPhase};
-use crate::settings::Settings;
+use crate::settings::{ReadSettings, Settings};
 use crate::state::Phase;
 use crate::{groups, records, sync};
 
@@ -49,15 +49,21 @@
 /// # Errors
 ///
 /// [`StartError`] if it cannot start.
-pub fn run(settings: Settings, dialect: Rc<dyn Dialect>, log: Logger) -> Result<(), StartError> {
+pub fn run(
+    settings: Settings,
+    read_settings: ReadSettings,
+    dialect: Rc<dyn Dialect>,
+    log: Logger,
+) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, dialect, log))
+    LocalSet::new().block_on(&runtime, serve(settings, read_settings, dialect, log))
 }
 
 async fn serve(
     settings: Settings,
+    read_settings: ReadSettings,
     dialect: Rc<dyn Dialect>,
     log: Logger,
 ) -> Result<(), StartError> {
@@ -65,7 +71,6 @@
     let mut reload = signal(SignalKind::hangup())?;
     let incarnation: u64 = rand::random();
     let listen = settings.listen.clone();
-    let grace = settings.bounds.grace;
     let node = Rc::new(Node::new(settings, dialect, log, Metrics::new()?));
     info!(node.log, "started"; "version" => env!("CARGO_PKG_VERSION"), "front" => %listen.callers, "incarnation" => incarnation);
     let socket = Rc::new(PeerSocket::bind(listen.peers, incarnation).await?);
@@ -120,9 +125,10 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => info!(node.log, "reload not supported, the settings stay in force until a restart"),
+            _ = reload.recv() => reload_settings(&node, read_settings),
         }
     }
+    let grace = node.bounds.get().grace;
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis() as u64);
     let since = node.now();
     node.state.borrow_mut().phase = Phase::Leaving { since };
@@ -145,6 +151,20 @@
     Ok(())
 }
 
+/// Reads the settings again. They are used only if all of them are valid.
+fn reload_settings(node: &Node, read_settings: ReadSettings) {
+    match read_settings() {
+        Ok(new) => {
+            let restart_needed = node.settings.restart_needed(&new).join(",");
+            info!(node.log, "settings reloaded"; "changed" => node.bounds.get() != new.bounds, "after_restart" => restart_needed);
+            node.bounds.set(new.bounds);
+        }
+        Err(error) => {
+            warn!(node.log, "settings not usable, the last ones stay in force"; "cause" => error);
+        }
+    }
+}
+
 /// Advances the queues, closes idle connections and completes pending removals of
 /// endpoints, at a fixed interval.
 async fn sweep(node: Rc<Node>) {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -209,7 +209,8 @@
     let context = {
         let now = node.now();
         let mut state = node.state.borrow_mut();
-        state.budget(&call.service, &node.settings).on_request(now);
+        let retries = node.bounds.get().retries;
+        state.budget(&call.service, retries).on_request(now);
         RequestContext {
             route: call.route.name.clone(),
             service: call.service.clone(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,7 @@
 use bulrushhoist_fleet::{Name, SharedRetryBudgetSettings};
 
 /// The addresses on which the process listens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listen {
     /// For callers' requests.
     pub callers: SocketAddr,
@@ -21,14 +21,14 @@
 }
 
 /// How to reach the store.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreSettings {
     /// Address of the store.
     pub address: SocketAddr,
 }
 
 /// Times and limits that the platform guarantees or requires.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
@@ -55,6 +55,28 @@
     pub listen: Listen,
     /// How to reach the store.
     pub store: StoreSettings,
-    /// Times and limits.
+    /// Times and limits. Of all settings, only these can change while the process runs.
     pub bounds: Bounds,
 }
+
+impl Settings {
+    /// Returns the names of the settings that differ and take effect only after a restart.
+    pub(crate) fn restart_needed(&self, new: &Self) -> Vec<&'static str> {
+        let changed = [
+            ("node", self.node != new.node),
+            ("data_centre", self.data_centre != new.data_centre),
+            ("cpu", self.cpu_milli != new.cpu_milli),
+            ("listen", self.listen != new.listen),
+            ("store", self.store != new.store),
+        ];
+        let changed = changed.into_iter().filter(|(_, differs)| *differs);
+        changed.map(|(name, _)| name).collect()
+    }
+}
+
+/// Reads the settings again.
+///
+/// # Errors
+///
+/// What is wrong with them.
+pub type ReadSettings = fn() -> Result<Settings, String>;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,16 +11,15 @@
 use bulrushhoist_fleet::{
     Batch, Candidate, Catalog, ColdLimiter, Endpoint, Engine, FirstEventLatency, Health,
     HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
-    PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget, SlotLimit,
-    Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
+    PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
+    SharedRetryBudgetSettings as RetryBounds, SlotLimit, Work, choose_leader,
+    choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
-use crate::settings::Settings;
-
 /// Shortest time without an event on any stream of a leader after which the leader
 /// counts as stalled. A lost packet is retransmitted within half of this time, so packet
 /// loss alone does not look like a stall.
@@ -369,21 +368,23 @@
     }
 
     /// Takes one retry from the retry budget of a service, if one is left.
-    pub(crate) fn take_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
+    pub(crate) fn take_retry(&mut self, now: Time, service: &Name, bounds: RetryBounds) -> bool {
         let entries = self.entries(now);
-        self.budget(service, settings).take_retry(now, entries)
+        self.budget(service, bounds).take_retry(now, entries)
     }
 
     /// Returns whether the retry budget of a service has a retry left, without taking it.
-    pub(crate) fn has_retry(&mut self, now: Time, service: &Name, settings: &Settings) -> bool {
+    pub(crate) fn has_retry(&mut self, now: Time, service: &Name, bounds: RetryBounds) -> bool {
         let entries = self.entries(now);
-        self.budget(service, settings).has_retry(now, entries)
+        self.budget(service, bounds).has_retry(now, entries)
     }
 
     /// Returns this entry's share of the retry budget of a service.
-    pub(crate) fn budget(&mut self, service: &Name, settings: &Settings) -> &mut SharedRetryBudget {
-        let fresh = || SharedRetryBudget::new(settings.bounds.retries);
-        self.budgets.entry(service.clone()).or_insert_with(fresh)
+    pub(crate) fn budget(&mut self, service: &Name, bounds: RetryBounds) -> &mut SharedRetryBudget {
+        let fresh = || SharedRetryBudget::new(bounds);
+        let budget = self.budgets.entry(service.clone()).or_insert_with(fresh);
+        budget.set_bounds(bounds);
+        budget
     }
 
     /// Returns the queue of a model.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -111,7 +111,7 @@
         if retried {
             let now = node.now();
             let mut state = node.state.borrow_mut();
-            if !state.take_retry(now, &call.service, &node.settings) {
+            if !state.take_retry(now, &call.service, node.bounds.get().retries) {
                 return Err(refusal);
             }
         }
@@ -168,7 +168,7 @@
     let key = (call.service.clone(), model);
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    if !state.has_retry(now, &call.service, &node.settings) {
+    if !state.has_retry(now, &call.service, node.bounds.get().retries) {
         return false;
     }
     let centre = &node.settings.data_centre;
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Changes the bound. What has been used still counts.
+    pub const fn set_bounds(&mut self, settings: SharedRetryBudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Records a request of a caller.
     pub fn on_request(&mut self, now: Time) {
         self.remove_expired(now);
