--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams by which the entries exchange loads, suspicions and liveness.
 //!
 //! Which message goes to whom is decided by [`Membership`]; this module owns the socket
-//! and the timer. See `docs/decisions/membership.md`.
+//! and the timer. See `docs/decisions/0011-hundreds-of-entries.md`.
 //!
 //! [`Membership`]: bulrushhoist_fleet::Membership
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -161,13 +161,13 @@
     /// Returns the changes since a revision, or all objects without one. An object that
     /// changed several times is contained once.
     fn changes(&self, after: Option<u64>, max_body: usize) -> Vec<RelayedChange> {
-        let after = after.unwrap_or(0);
-        let removals = self.removals.iter();
+        let is_newer = |revision: u64| after.is_none_or(|after| revision > after);
+        let removals = self.removals.iter().filter(|_| after.is_some());
         let removed = removals
-            .filter(|(revision, name)| *revision > after && !self.objects.contains_key(name));
+            .filter(|(revision, name)| is_newer(*revision) && !self.objects.contains_key(name));
         let removed = removed.map(|(_, name)| RelayedChange::Removed(name.clone()));
         let puts = self.objects.values();
-        let puts = puts.filter(|(revision, _)| *revision > after || after == 0);
+        let puts = puts.filter(|(revision, _)| is_newer(*revision));
         let puts = puts.map(|(_, object)| RelayedChange::put(object, max_body));
         removed.chain(puts).collect()
     }
@@ -406,3 +406,7 @@
         updates: answer.changes.into_iter().map(RelayUpdate::from).collect(),
     })
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/relay.rs"]
+mod tests;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -6,7 +6,7 @@
 //! them, its hubs, which add the reports up, exchange the sums with the hubs of the other
 //! data centres, and return everything in digests. An entry then sends and receives the
 //! same number of messages however many entries there are. See
-//! `docs/decisions/membership.md`.
+//! `docs/decisions/0011-hundreds-of-entries.md`.
 //!
 //! Invariants: the load of an entry counts once, and only while its reports arrive; a
 //! message that is older than the last one of its sender changes nothing.
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bulrushhoist_load::{Command, compare, measure_decisions, parse, run};
+use bulrushhoist_load::{Command, compare, measure_decisions, measure_leader_choice, parse, run};
 
 const HELP: &str = "\
 bulrushhoist-load - open-loop load and experiments
@@ -35,7 +35,8 @@
 
 `compare` sends idempotent calls alternately through an entry and directly to
 the endpoint, and then measures the entry's throughput with 64 calls in flight.
-`decisions` measures the time of one request's routing decisions.
+`decisions` measures the time of one request's routing decisions, by number of
+replicas, and of the choice of a leader, by number of entries and leaders.
 
 exit codes: 0 success, 1 the run failed, 2 usage error, 3 an answer was wrong or
 partial, or a request ran twice or after a caller was told that it did not run
@@ -60,6 +61,11 @@
                 let nanos = cost.per_request.as_nanos();
                 println!("{} replicas: {nanos} ns per request", cost.replicas);
             }
+            for cost in measure_leader_choice(&[7, 76, 295, 1_400], &[10, 100, 1_000]) {
+                let (entries, leaders) = (cost.entries, cost.leaders);
+                let nanos = cost.per_choice.as_nanos();
+                println!("{leaders} leaders, {entries} entries: {nanos} ns per choice");
+            }
             ExitCode::SUCCESS
         }
         Command::Compare(options) => run_comparison(&options),
