Let only entries plan that the store itself answers

Now an entry plans only while the store answers its own calls; the rule is a pure state machine with tests, which fail with the former rule. The test of the real program with two of three entries cut off passes with the former code, too: there the third got its turn.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -83,7 +83,7 @@
             stored = None;
             eligible_since = None;
             node.state.borrow_mut().planning = false;
-            node.state.borrow_mut().last_store_contact = None;
+            node.state.borrow_mut().contact.reset();
             continue;
         }
         if !peers::may_plan(&node) {
@@ -113,12 +113,13 @@
             Some(current) => current,
             None => match read_plan(&node).await {
                 Ok(read) => {
+                    node.state.borrow_mut().contact.on_direct_answer(node.now());
                     debug!(node.log, "plan read"; "groups" => read.plan.groups.len(), "epoch" => read.plan.epoch, "revision" => read.revision);
                     read
                 }
                 Err(error) => {
                     warn!(node.log, "plan not read"; "cause" => %error);
-                    node.state.borrow_mut().last_store_failure = Some(node.now());
+                    on_planner_failure(&node);
                     continue;
                 }
             },
@@ -127,6 +128,12 @@
     }
 }
 
+/// Records that the store didn't answer the planner. Another entry may reach it.
+fn on_planner_failure(node: &Node) {
+    let now = node.now();
+    node.state.borrow_mut().contact.on_planner_failure(now);
+}
+
 async fn read_plan(node: &Node) -> Result<StoredPlan, StoreError> {
     match node.store.read(ObjectKind::Plans, PLAN_NAME).await {
         Ok(object) => match serde_json::from_slice(&object.body) {
@@ -222,6 +229,7 @@
         node.metrics.on_store_call("write", written.is_ok());
         match written {
             Ok(object) => {
+                node.state.borrow_mut().contact.on_direct_answer(node.now());
                 info!(node.log, "plan stored"; "revision" => object.revision, "epoch" => plan.epoch, "groups" => plan.groups.len(), "before" => stored.plan.groups.len());
                 self.log_difference(&stored.plan, &plan);
                 Some(StoredPlan {
@@ -233,8 +241,7 @@
             Err(error) => {
                 warn!(node.log, "plan not stored"; "cause" => %error);
                 if matches!(error, StoreError::NoAnswer(_) | StoreError::Refused(_)) {
-                    // Another entry may reach the store.
-                    node.state.borrow_mut().last_store_failure = Some(node.now());
+                    on_planner_failure(node);
                 }
                 None
             }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -21,8 +21,6 @@
 use crate::peer_messages::{self, PeerMessage};
 use crate::state::Phase;
 
-/// Maximum age of the store's last answer at which an entry may plan or be followed.
-pub(crate) const MAX_STORE_AGE: Duration = Duration::from_millis(2_500);
 /// Maximum size of a datagram. It has room for the longest lists of a message.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 24 * 1_024;
 /// Maximum number of strikes in one message.
@@ -119,9 +117,9 @@
     EntryStatus {
         key: name_key(&node.settings.node),
         ready,
-        synced: state.has_store_contact(now, MAX_STORE_AGE),
+        synced: state.is_synced(now),
         planning: state.planning,
-        reaches_store: state.reaches_store(now),
+        reaches_store: state.contact.reaches_store(now),
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -12,7 +12,7 @@
     Batch, Candidate, Catalog, ColdLimiter, Endpoint, Engine, FirstEventLatency, Health,
     HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
     PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
-    SharedRetryBudgetSettings as RetryBounds, SlotLimit, Work, choose_leader,
+    SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work, choose_leader,
     choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::SeedableRng as _;
@@ -27,13 +27,8 @@
 /// Multiple of the largest gap between two events of a healthy leader that the time
 /// without events must exceed before the leader counts as stalled.
 const STALL_GAP_FACTOR: f64 = 2.5;
-/// Time after a failed call to the store during which an entry leaves planning to other
-/// entries, which may still reach the store.
-const STORE_FAILURE_BACKOFF: Duration = Duration::from_secs(3);
-
-/// Time after a failed call during which an entry doesn't count as one that reaches the
-/// store.
-const UNREACHED_TIME: Duration = Duration::from_secs(8);
+/// Maximum age of the store's last answer at which an entry may plan.
+const MAX_STORE_AGE: Duration = Duration::from_millis(2_500);
 
 /// Factor on the published request rate of a cold endpoint before it is divided among the
 /// entries. Entries that are joining or restarting are not in their count yet.
@@ -99,12 +94,7 @@
     pub(crate) quarantine: Quarantine,
     /// Incarnation and time of the last failure that this entry saw, by endpoint.
     pub(crate) suspicions: HashMap<Name, (u64, Time)>,
-    /// When the store, or a peer that the store answers, answered last.
-    pub(crate) last_store_contact: Option<Time>,
-    /// When a call of the planner to the store last failed.
-    pub(crate) last_store_failure: Option<Time>,
-    /// When the store last failed to answer this entry, if it hasn't answered since.
-    pub(crate) unreached_since: Option<Time>,
+    pub(crate) contact: StoreContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
     /// Whether this entry is the one that plans groups.
@@ -131,9 +121,7 @@
             budgets: HashMap::new(),
             quarantine: Quarantine::new(QuarantineSettings::default()),
             suspicions: HashMap::new(),
-            last_store_contact: None,
-            last_store_failure: None,
-            unreached_since: None,
+            contact: StoreContact::default(),
             traffic_seen: false,
             planning: false,
             last_queue_id: 0,
@@ -172,19 +160,12 @@
         domain_factor.max(own).max(reported)
     }
 
-    /// Returns whether the store answered within this time, the planner's calls to it have
-    /// not failed recently, and the endpoint records are complete. They may be incomplete
-    /// for a while after a store outage, which is ignored until the first request: a new
+    /// Returns whether this entry may plan as far as the store is concerned: the store
+    /// itself answers it, and the endpoint records are complete. They may be incomplete for a
+    /// while after a store outage, which is ignored until the first request: a new
     /// deployment has nothing to miss.
-    pub(crate) fn has_store_contact(&self, now: Time, within: Duration) -> bool {
-        let answered = self
-            .last_store_contact
-            .is_some_and(|t| now.since(t) < within);
-        let failed = self
-            .last_store_failure
-            .is_some_and(|t| now.since(t) < STORE_FAILURE_BACKOFF);
-        answered
-            && !failed
+    pub(crate) fn is_synced(&self, now: Time) -> bool {
+        self.contact.may_plan(now, MAX_STORE_AGE)
             && self.has_roster
             && (!self.roster.is_incomplete(now) || !self.traffic_seen)
     }
@@ -204,12 +185,6 @@
         self.monitor.health(now, &endpoint.id, endpoint.incarnation)
     }
 
-    /// Returns whether the store accepts this entry's calls, as far as it knows.
-    pub(crate) fn reaches_store(&self, now: Time) -> bool {
-        let failed = self.unreached_since;
-        failed.is_none_or(|t| now.since(t) >= UNREACHED_TIME)
-    }
-
     /// Returns the number of entries that may have requests at endpoints.
     fn entries(&self, now: Time) -> usize {
         self.peers.entry_count(now)
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -138,7 +138,7 @@
                 {
                     let mut state = node.state.borrow_mut();
                     state.roster.on_store_lost();
-                    state.unreached_since = Some(node.now());
+                    state.contact.on_failure(node.now());
                 }
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(follower.max_retry_pause());
@@ -162,7 +162,9 @@
         if !state.has_entries {
             return Source::Wait;
         }
-        let choice = state.peers.choose_relay(now, state.reaches_store(now));
+        let choice = state
+            .peers
+            .choose_relay(now, state.contact.reaches_store(now));
         let source = match choice {
             RelayChoice::Store => {
                 self.fallback_at = None;
@@ -352,7 +354,7 @@
 /// Counts an answer of the store itself.
 fn on_store_answer(node: &Node, purpose: &'static str) {
     on_answer(node, purpose, true);
-    node.state.borrow_mut().unreached_since = None;
+    node.state.borrow_mut().contact.on_direct_answer(node.now());
 }
 
 /// Counts a call to the store or a relay, and records contact with the store.
@@ -361,7 +363,7 @@
     if ok {
         let now = node.now();
         let mut state = node.state.borrow_mut();
-        state.last_store_contact = Some(now);
+        state.contact.on_answer(now);
         state.roster.on_store_back(now);
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod retry_budget;
 mod roster;
+mod store_contact;
 mod timing;
 
 pub use catalog::{
@@ -43,6 +44,7 @@
 pub use queue::{MIN_RETRY_AFTER, QueueSettings, QueuedRequest, RequestQueue};
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
+pub use store_contact::StoreContact;
 pub use timing::{Batch, FirstEventLatency, Work, first_token_time, max_event_gap, step_time};
 
 /// A name, reference-counted because many records share it.
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -36,7 +36,7 @@
     pub key: u32,
     /// Whether it accepts callers.
     pub ready: bool,
-    /// Whether its copy of the store is complete and current.
+    /// Whether the store itself answers it, and its copy is complete.
     pub synced: bool,
     /// Whether it plans groups.
     pub planning: bool,
