Let eight agreed entries hold the rate of a cold endpoint in a large deployment

Cause: each of 295 entries had a share of at least 0.1 requests a second of a cold endpoint's rate, and a tenth of them may send at the moment it opens. Now, above 40 entries, the eight with the lowest hash of entry and endpoint among the registered ones hold the rate. All entries agree on them, also those that hear nobody. Test with 41, 300 and 1,400 entries and 300 isolated ones: 7 to 26 in the busiest second at 14 a second and a bound of 26. Up to 40 entries nothing changes.

--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_fleet::{ASSUMED_COLD_TIME, EntryInfo, Name, RosterChange, assumed_cold_time};
+use bulrushhoist_fleet::{
+    ASSUMED_COLD_TIME, EntryInfo, Name, RosterChange, assumed_cold_time, name_key,
+};
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -94,8 +96,9 @@
         // Its endpoints may have become cold without work, and their records lag behind.
         let state = &mut *state;
         for endpoint in state.roster.iter().filter(|e| *e.data_centre == *name) {
+            let share = state.peers.cold_share(name_key(&endpoint.id));
             let limiter = state.cold.entry(endpoint.id.clone()).or_default();
-            limiter.set_cold(now, now + ASSUMED_COLD_TIME, state.rng.random());
+            limiter.set_cold(now, now + ASSUMED_COLD_TIME, state.rng.random(), share);
         }
     }
     drop(state);
@@ -133,8 +136,9 @@
         let now = node.now();
         let mut state = node.state.borrow_mut();
         let phase = state.rng.random();
+        let share = state.peers.cold_share(name_key(&id));
         let limiter = state.cold.entry(id.clone()).or_default();
-        limiter.set_cold(now, now + cold, phase);
+        limiter.set_cold(now, now + cold, phase, share);
     }
     info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => incarnation, "revision" => object.revision, "domain" => &*domain, "group" => group);
     if change == RosterChange::Restarted {
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -221,6 +221,7 @@
     since: Time,
     /// Offset of this entry's send windows among those of all entries, from 0 to 1.
     phase: f64,
+    share: ColdShare,
 }
 
 /// Time after its start for which an endpoint is taken as cold whatever its record says.
@@ -250,13 +251,30 @@
 /// requests that can be enforced.
 const SENT_TTL: Duration = Duration::from_secs(10);
 
+/// This entry's share of the rate of a cold endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ColdShare {
+    /// The same as that of every other entry.
+    #[default]
+    Equal,
+    /// The same as that of the other holders; all entries agree on these few.
+    Holder,
+    /// Nothing: other entries hold the rate.
+    Nothing,
+}
+
+/// Number of entries that hold the rate of one cold endpoint in a large deployment. Among
+/// all of them, each share would be too small to use, or the shares would exceed the rate.
+pub(crate) const COLD_HOLDERS: usize = 8;
+
 impl ColdLimiter {
     /// Limits requests until the endpoint is warm. `phase`, between 0 and 1, is the
     /// offset of this entry's send windows among those of all entries.
-    pub fn set_cold(&mut self, now: Time, until: Time, phase: f64) {
+    pub fn set_cold(&mut self, now: Time, until: Time, phase: f64, share: ColdShare) {
         if now >= self.until {
             self.since = now;
             self.phase = phase;
+            self.share = share;
         }
         self.until = self.until.max(until);
     }
@@ -269,6 +287,11 @@
         if now >= self.until {
             return true;
         }
+        let entries = match self.share {
+            ColdShare::Equal => entries,
+            ColdShare::Holder => COLD_HOLDERS,
+            ColdShare::Nothing => return false,
+        };
         let share = (per_s / entries.max(1) as f64).max(0.1);
         let interval = Duration::from_secs_f64(share.recip().max(1.0));
         if share < 1.0 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,8 +29,8 @@
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
 pub use health::{Health, HealthMonitor, HealthSettings};
 pub use leader_choice::{
-    ASSUMED_COLD_TIME, Candidate, ColdLimiter, LeaderChoice, LeaderChoiceSettings, SlotLimit,
-    assumed_cold_time, choose_leader,
+    ASSUMED_COLD_TIME, Candidate, ColdLimiter, ColdShare, LeaderChoice, LeaderChoiceSettings,
+    SlotLimit, assumed_cold_time, choose_leader,
 };
 pub use membership::{
     Digest, DigestRate, EndpointLoad, EntryInfo, EntryStatus, Membership, MembershipSettings, News,
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -27,6 +27,7 @@
 use smallvec::SmallVec;
 
 use crate::Name;
+use crate::leader_choice::{COLD_HOLDERS, ColdShare};
 pub use loads::EndpointLoad;
 use loads::LoadSums;
 pub use messages::{Digest, DigestRate, EntryStatus, News, Report, Scope, Sender, SlowLeader};
@@ -338,6 +339,26 @@
         all.filter_map(|(key, status)| Some((self.registry.get(*key)?, *status)))
     }
 
+    /// Returns this entry's share of the rate of a cold endpoint. In a large deployment a few
+    /// registered entries, alive or not, hold it: all entries agree on these, also those
+    /// that don't hear each other.
+    #[must_use]
+    pub fn cold_share(&self, endpoint: u32) -> ColdShare {
+        if self.registry.len() <= self.settings.direct_limit {
+            return ColdShare::Equal;
+        }
+        let rank = |key: u32| {
+            let bytes = key.to_be_bytes().into_iter().chain(endpoint.to_be_bytes());
+            (crate::fnv_hash(bytes), key)
+        };
+        let own = rank(self.registry.own_key());
+        let ahead = self.registry.ranked().iter().filter(|k| rank(**k) < own);
+        match ahead.take(COLD_HOLDERS).count() < COLD_HOLDERS {
+            true => ColdShare::Holder,
+            false => ColdShare::Nothing,
+        }
+    }
+
     /// Returns whether this entry has had time to hear of the others.
     #[must_use]
     pub fn is_settled(&self, now: Time) -> bool {
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bulrushhoist_fleet::{
-    ASSUMED_COLD_TIME, Batch, Candidate, ColdLimiter, FirstEventLatency, Health, HealthMonitor,
-    HealthSettings, LeaderChoice, LeaderChoiceSettings, MIN_RETRY_AFTER, Name, PlainCandidate,
-    PlainChoice, QueueSettings, QueuedRequest, RequestQueue, RosterChange, SlotLimit, Work,
-    assumed_cold_time, choose_leader, choose_plain_endpoint, max_event_gap,
+    ASSUMED_COLD_TIME, Batch, Candidate, ColdLimiter, ColdShare, FirstEventLatency, Health,
+    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, MIN_RETRY_AFTER, Name,
+    PlainCandidate, PlainChoice, QueueSettings, QueuedRequest, RequestQueue, RosterChange,
+    SlotLimit, Work, assumed_cold_time, choose_leader, choose_plain_endpoint, max_event_gap,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -120,7 +120,7 @@
     for entry in 0..entries {
         let mut limiter = ColdLimiter::default();
         let phase = entry as f64 / entries as f64;
-        limiter.set_cold(ms(0), ms(5_000), phase);
+        limiter.set_cold(ms(0), ms(5_000), phase, ColdShare::Equal);
         for at in opens..5_000 {
             if limiter.allows(ms(at), per_s, entries) {
                 limiter.on_sent(ms(at));
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -195,3 +195,26 @@
     let hubs = roles.filter(|r| *r == Role::Hub).count();
     assert!((5..=16).contains(&hubs), "{hubs} hubs");
 }
+
+/// Guards against cold endpoints that get more than they can carry because each of hundreds
+/// of entries may send a little: a few entries hold the rate, the same ones for everybody,
+/// also for entries that hear nobody.
+#[test]
+fn all_entries_together_stay_within_the_rate_of_a_cold_endpoint() {
+    const PER_S: f64 = 14.0;
+    // An entry raises the rate by a fifth before it divides it.
+    const ENTRY_FACTOR: f64 = 1.2;
+    for (entries, isolated) in [(41, false), (300, false), (300, true), (1_400, false)] {
+        let mut deployment = Deployment::start(entries, 5, 0.0);
+        if isolated {
+            (0..entries).for_each(|e| deployment.inject(Fault::Isolate(e)));
+            deployment.run(2_000);
+        }
+        for endpoint in 0..20 {
+            let peak = deployment.cold_peak(endpoint, PER_S * ENTRY_FACTOR);
+            let bound = PER_S * 1.5 + 5.0;
+            assert!(peak as f64 <= bound, "{peak} by {entries} entries");
+            assert!(peak as f64 >= PER_S / 2.0, "only {peak} by {entries}");
+        }
+    }
+}
--- a/crates/fleet/tests/membership/network.rs
+++ b/crates/fleet/tests/membership/network.rs
@@ -3,11 +3,12 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Digest, EndpointLoad, EntryInfo, EntryStatus, Membership, MembershipSettings, News, OwnNews,
-    RelayChoice, Report, Role, Sender, name_key,
+    ColdLimiter, Digest, EndpointLoad, EntryInfo, EntryStatus, Membership, MembershipSettings,
+    News, OwnNews, RelayChoice, Report, Role, Sender, name_key,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -319,6 +320,32 @@
         self.entries[entry].membership.entry_count(self.time())
     }
 
+    /// Returns the number of requests that an endpoint gets in its busiest second after it
+    /// became cold, if every entry always has more to send.
+    pub(crate) fn cold_peak(&self, endpoint: u32, per_s: f64) -> usize {
+        let mut sent = Vec::new();
+        let until = self.time() + Duration::from_secs(5);
+        for (index, entry) in self.entries.iter().enumerate() {
+            let mut limiter = ColdLimiter::default();
+            let phase = index as f64 / self.entries.len() as f64;
+            let share = entry.membership.cold_share(endpoint);
+            limiter.set_cold(self.time(), until, phase, share);
+            let count = entry.membership.entry_count(self.time());
+            for at in (0..5_000).step_by(10) {
+                let now = self.time() + Duration::from_millis(at);
+                if limiter.allows(now, per_s, count) {
+                    limiter.on_sent(now);
+                    sent.push(at);
+                }
+            }
+        }
+        let second = |start: u64| {
+            let window = start..start + 1_000;
+            sent.iter().filter(|t| window.contains(*t)).count()
+        };
+        (0..4_000).step_by(50).map(second).max().unwrap_or(0)
+    }
+
     pub(crate) fn role(&self, entry: usize) -> Role {
         self.entries[entry].membership.role()
     }
