End the circle of imports between node, relay and sync

The relay gets the clock and a parsed query instead of the node, and the wait of a watch is with the store's client.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,11 +21,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::clock::Clock;
 use crate::connection::{Connection, ConnectionError};
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
-use crate::metrics::ByteCause;
-use crate::node::Node;
-use crate::sync::watch_wait;
+use crate::store::watch_wait;
 
 /// Removals of one kind that are kept for followers at most.
 const MAX_CACHED_REMOVALS: usize = 400;
@@ -57,7 +56,7 @@
 }
 
 /// Returns the largest body of an object that this entry relays.
-const fn max_relayed_body(role: Role) -> usize {
+pub(crate) const fn max_relayed_body(role: Role) -> usize {
     match role {
         Role::Direct => MAX_RELAYED_BODY_BYTES,
         Role::Hub | Role::Follower => MAX_RELAYED_BODY_BYTES_WITH_HUBS,
@@ -264,25 +263,26 @@
         }
     }
 
-    /// Answers a follower, after a wait while nothing has changed.
-    pub(crate) async fn answer(&self, node: &Node, target: &str) -> (StatusCode, Bytes) {
-        let Some(query) = RelayQuery::parse(target) else {
-            return (StatusCode::NOT_FOUND, Bytes::new());
-        };
-        let max_body = max_relayed_body(node.state.borrow().peers.role());
+    /// Answers a follower, after a wait while nothing has changed. Objects with a larger
+    /// body than `max_body` are only named.
+    pub(crate) async fn answer(
+        &self,
+        clock: &Clock,
+        query: &RelayQuery,
+        max_body: usize,
+    ) -> (StatusCode, Bytes) {
         let end = tokio::time::Instant::now() + query.wait;
         let asked_at = self.answered_at(query.kind);
         loop {
             let changed = self.changed.notified();
             let over = tokio::time::Instant::now() >= end;
             let renewed = self.answered_at(query.kind) != asked_at;
-            match self.lookup(node.now(), &query, max_body) {
+            match self.lookup(clock.now(), query, max_body) {
                 Lookup::Stale => return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
                 Lookup::HistoryGone => return (StatusCode::GONE, Bytes::new()),
                 Lookup::Unchanged(_) if !over && !renewed => {}
                 Lookup::Unchanged(answer) | Lookup::Changed(answer) => {
                     let body = serde_json::to_vec(&answer).expect("changes are valid JSON");
-                    count_bytes(node, &query, body.len());
                     return (StatusCode::OK, Bytes::from(body));
                 }
             }
@@ -292,18 +292,6 @@
     }
 }
 
-/// Counts the bytes of an answer, by whether its follower is in this data centre.
-fn count_bytes(node: &Node, query: &RelayQuery, bytes: usize) {
-    let state = node.state.borrow();
-    let follower = state.peers.info(query.follower);
-    let nearby = follower.is_some_and(|f| f.data_centre == node.settings.data_centre);
-    let cause = match nearby {
-        true => ByteCause::RelayNearby,
-        false => ByteCause::RelayRemote,
-    };
-    node.metrics.on_bytes(cause, bytes);
-}
-
 /// The result of a lookup in the copy of a kind.
 enum Lookup {
     /// The store has not answered this entry for too long.
@@ -336,7 +324,7 @@
     }
 
     /// Parses the path and query of a request.
-    fn parse(target: &str) -> Option<Self> {
+    pub(crate) fn parse(target: &str) -> Option<Self> {
         let (path, query) = target.split_once('?')?;
         let mut parts = path.strip_prefix("/relay/")?.split('/');
         let name = parts.next()?;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -8,12 +8,13 @@
 
 use bulrushhoist_core::QuarantineDecision;
 use bulrushhoist_fleet::{CallKind, MIN_RETRY_AFTER};
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::http::response::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::RngExt as _;
 use slog::{info, warn};
@@ -24,8 +25,10 @@
 use crate::call::{self, Call, strip_hop_by_hop_headers};
 use crate::dialect::LocalCall;
 use crate::directory;
+use crate::metrics::ByteCause;
 use crate::node::Node;
 use crate::outcome::Refusal;
+use crate::relay::{RelayQuery, max_relayed_body};
 use crate::state::Phase;
 use crate::stream::StreamAnswer;
 use crate::{net, plain, stream};
@@ -141,9 +144,7 @@
         ListenerRole::Callers => answer_caller(node, request).await,
         ListenerRole::Local => answer_local(node, &request),
         ListenerRole::Relay => {
-            let target = request.uri().path_and_query();
-            let target = target.map_or("/", |t| t.as_str());
-            let (status, body) = node.relay.answer(node, target).await;
+            let (status, body) = answer_follower(node, request.uri()).await;
             let mut response = Response::new(AnswerBody::complete(body));
             *response.status_mut() = status;
             response
@@ -158,6 +159,26 @@
     }
 }
 
+/// Answers an entry that follows this one, and counts the bytes by whether it is in the
+/// same data centre.
+async fn answer_follower(node: &Node, uri: &Uri) -> (StatusCode, Bytes) {
+    let target = uri.path_and_query().map_or("/", |t| t.as_str());
+    let Some(query) = RelayQuery::parse(target) else {
+        return (StatusCode::NOT_FOUND, Bytes::new());
+    };
+    let max_body = max_relayed_body(node.state.borrow().peers.role());
+    let (status, body) = node.relay.answer(&node.clock, &query, max_body).await;
+    let state = node.state.borrow();
+    let follower = state.peers.info(query.follower);
+    let nearby = follower.is_some_and(|f| f.data_centre == node.settings.data_centre);
+    let cause = match nearby {
+        true => ByteCause::RelayNearby,
+        false => ByteCause::RelayRemote,
+    };
+    node.metrics.on_bytes(cause, body.len());
+    (status, body)
+}
+
 fn status_only(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::Complete(None));
     *response.status_mut() = status;
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -24,6 +24,22 @@
 /// Maximum size of an answer; a page of a list has about one megabyte.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
+/// Longest wait of a watch for kinds whose changes must take effect soon. A watch that the
+/// store drops without closing the connection is noticed only after this time.
+const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
+/// Longest wait of a watch for the other kinds.
+const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
+
+/// Returns the longest wait of a watch for a kind.
+pub(crate) const fn watch_wait(kind: ObjectKind) -> Duration {
+    match kind {
+        ObjectKind::Configuration | ObjectKind::Endpoints | ObjectKind::Evacuations => {
+            WATCH_WAIT_SHORT
+        }
+        ObjectKind::Entries | ObjectKind::Plans => WATCH_WAIT_LONG,
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Display)]
 pub(crate) enum StoreError {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -20,13 +20,8 @@
 use crate::peers;
 use crate::records::{apply_change, apply_list};
 use crate::relay::{self, RelayError, RelayQuery, RelayUpdate, Relayed};
-use crate::store::StoreError;
+use crate::store::{StoreError, watch_wait};
 
-/// Longest wait of a watch for kinds whose changes must take effect soon. A watch that the
-/// store drops without closing the connection is noticed only after this time.
-const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
-/// Longest wait of a watch for the other kinds.
-const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
 /// Time for which a relay is not followed after it could not be reached.
 const UNREACHABLE_RELAY_BACKOFF: Duration = Duration::from_secs(3);
 /// Time for which a relay is not followed after its copy of the store was stale.
@@ -54,16 +49,6 @@
 /// The same on entries that follow a hub.
 const FOLLOWER_BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Returns the longest wait of a watch for a kind.
-pub(crate) const fn watch_wait(kind: ObjectKind) -> Duration {
-    match kind {
-        ObjectKind::Configuration | ObjectKind::Endpoints | ObjectKind::Evacuations => {
-            WATCH_WAIT_SHORT
-        }
-        ObjectKind::Entries | ObjectKind::Plans => WATCH_WAIT_LONG,
-    }
-}
-
 /// Where an entry gets the changes of a kind from.
 enum Source {
     Store,
