--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -175,8 +175,8 @@
         let own = self.loads.get(id).copied().unwrap_or_default();
         let (requests, prefill_tokens) = self.peers.load(now, name_key(id));
         Batch {
-            requests: f64::from(own.requests + requests),
-            prefill_tokens: f64::from(own.prefill_tokens + prefill_tokens),
+            requests: f64::from(own.requests) + f64::from(requests),
+            prefill_tokens: f64::from(own.prefill_tokens) + f64::from(prefill_tokens),
         }
     }
 
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -322,7 +322,8 @@
             Role::Hub => self.report_loads.get(key),
         };
         let (more, more_tokens) = self.summary_loads.get(key);
-        (requests + more, tokens + more_tokens)
+        let requests = requests.saturating_add(more);
+        (requests, tokens.saturating_add(more_tokens))
     }
 
     /// Returns the factor by which a leader is slower than published, as others report it.
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -26,8 +26,10 @@
         }
         self.report_loads.add(&report.news.loads);
         self.keep_news(now, &report.news, Origin::Report);
-        self.live.insert(key, report.status);
-        self.departed.remove(&key);
+        if self.role != Role::Follower {
+            self.live.insert(key, report.status);
+            self.departed.remove(&key);
+        }
         let received = Received {
             message: report,
             at: now,
@@ -105,8 +107,10 @@
             }
             recent
         });
+        let summaries = self.summaries.len();
         self.summaries
             .retain(|_, s| is_recent(s.at, SUMMARY_TIMEOUT));
+        let lapsed = self.summaries.len() < summaries;
         self.views
             .retain(|key, v| *key != own && is_recent(v.at, DIGEST_TTL));
         self.unresponsive.retain(|_, until| now < *until);
@@ -115,6 +119,9 @@
         self.slow.retain(|_, (_, at, _)| now.since(*at) < NEWS_TTL);
         let forget = self.settings.forget_timeout;
         self.departed.retain(|_, at| now.since(*at) < forget);
+        if lapsed {
+            self.sum_summaries();
+        }
     }
 
     /// Returns the view of the hub that this entry prefers, if it is recent.
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -218,3 +218,28 @@
         }
     }
 }
+
+/// Guards against the loads of a lost data centre that stay, because no other data centre
+/// sends anything that replaces them: leaders would look full for ever.
+#[test]
+fn the_loads_of_the_only_other_data_centre_lapse_with_it() {
+    let mut deployment = Deployment::start(60, 2, 0.0);
+    deployment.run(SETTLE_MS);
+    (0..60).for_each(|e| deployment.set_load(e, 1));
+    deployment.run(2_000);
+    assert_eq!(deployment.load_at(0), 59);
+    deployment.inject(Fault::Cut(1));
+    deployment.run(MAX_LOSS_MS);
+    for entry in deployment.members_of(0) {
+        assert_eq!(deployment.load_at(entry), 29, "{entry}");
+    }
+}
+
+/// Guards against a message with impossible numbers that stops the process.
+#[test]
+fn the_largest_loads_do_no_harm() {
+    let mut deployment = Deployment::start(60, 2, 0.0);
+    (0..60).for_each(|e| deployment.set_load(e, u32::MAX));
+    deployment.run(SETTLE_MS);
+    assert_eq!(deployment.load_at(0), u32::MAX);
+}
