Never list a kind again from a relay that is behind

Found on reading: after a relay had dropped its history, the next list was accepted at any revision, so a relay that was behind could bring back records that had been replaced. The cursor keeps the highest applied revision, also while the kind must be listed; there was no such check before, which its test would show.

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -57,12 +57,33 @@
     Wait,
 }
 
+/// How far a kind of objects is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Cursor {
+    /// Revision from which to continue; `None` if the kind must be listed.
+    revision: Option<u64>,
+    /// Highest revision that was applied.
+    applied: u64,
+}
+
+impl Cursor {
+    /// Returns whether an answer of this revision is at least as new as all that was
+    /// applied, also if the kind must be listed again: a relay may be behind.
+    const fn accepts(self, revision: u64) -> bool {
+        revision >= self.applied
+    }
+
+    fn advance(&mut self, revision: u64) {
+        self.applied = self.applied.max(revision);
+        self.revision = Some(self.applied);
+    }
+}
+
 /// The state of following one kind of objects.
 struct Follower {
     node: Rc<Node>,
     kind: ObjectKind,
-    /// Revision up to which the kind is known; `None` before the first list.
-    revision: Option<u64>,
+    cursor: Cursor,
     connection: Option<Connection>,
     /// The relay that `connection` leads to, or `None` for the store.
     relay: Option<Name>,
@@ -79,7 +100,7 @@
     let mut follower = Follower {
         node,
         kind,
-        revision: None,
+        cursor: Cursor::default(),
         connection: None,
         relay: None,
         listed: false,
@@ -104,7 +125,7 @@
         match result {
             Ok(()) => {
                 if failures > 1 {
-                    info!(node.log, "store is back"; "kind" => %kind, "revision" => follower.revision);
+                    info!(node.log, "store is back"; "kind" => %kind, "revision" => follower.cursor.revision);
                 }
                 failures = 0;
                 pause = MIN_RETRY_PAUSE;
@@ -212,14 +233,14 @@
         };
         let query = RelayQuery {
             kind: self.kind,
-            after: self.revision,
+            after: self.cursor.revision,
             wait: relay::long_poll_timeout(role),
             follower: own,
         };
         let fetched = relay::fetch(&mut self.connection, address, &query).await;
         let node = &self.node;
         match fetched {
-            Ok(relayed) if relayed.revision < self.revision.unwrap_or(0) => {
+            Ok(relayed) if !self.cursor.accepts(relayed.revision) => {
                 // The relay's copy is older than what this entry has already applied.
                 self.avoided.push((name, node.now() + STALE_RELAY_BACKOFF));
             }
@@ -230,7 +251,7 @@
                 let revision = relayed.revision;
                 let changes = self.read_omitted(relayed).await?;
                 let any = !changes.is_empty();
-                if self.revision.is_none() {
+                if self.cursor.revision.is_none() {
                     let objects = changes.into_iter().filter_map(Change::into_put);
                     self.replace(objects.collect(), revision, answered_at);
                 } else {
@@ -240,10 +261,12 @@
                     tokio::time::sleep(FOLLOWER_BATCH_PAUSE).await;
                 }
             }
-            Err(RelayError::HistoryGone) => self.revision = None,
+            Err(RelayError::HistoryGone) => self.cursor.revision = None,
             Err(error) => {
                 let pause = match error {
-                    RelayError::Refused(_) if self.revision.is_none() => STARTING_RELAY_BACKOFF,
+                    RelayError::Refused(_) if self.cursor.revision.is_none() => {
+                        STARTING_RELAY_BACKOFF
+                    }
                     RelayError::Refused(_) => STALE_RELAY_BACKOFF,
                     _ => UNREACHABLE_RELAY_BACKOFF,
                 };
@@ -274,7 +297,7 @@
     /// Lists or watches the store once and applies the answer.
     async fn follow_store(&mut self) -> Result<(), StoreError> {
         let node = &self.node;
-        let Some(revision) = self.revision else {
+        let Some(revision) = self.cursor.revision else {
             // A later list must not be older than what is known; the first one may be stale,
             // unless this entry decides by it whom to follow.
             let consistency = match self.listed || self.kind == ObjectKind::Entries {
@@ -303,7 +326,7 @@
                 Ok(())
             }
             Err(StoreError::HistoryGone) => {
-                self.revision = None;
+                self.cursor.revision = None;
                 Ok(())
             }
             Err(error) => Err(error),
@@ -316,7 +339,7 @@
         let node = &self.node;
         node.relay.reset(self.kind, &objects, revision, answered_at);
         apply_list(node, self.kind, objects);
-        self.revision = Some(revision);
+        self.cursor.advance(revision);
         self.listed = true;
     }
 
@@ -325,7 +348,7 @@
     fn apply(&mut self, changes: Changes, answered_at: Time) {
         let node = &self.node;
         node.relay.extend(self.kind, &changes, answered_at);
-        self.revision = Some(self.revision.unwrap_or(0).max(changes.revision));
+        self.cursor.advance(changes.revision);
         let any = !changes.changes.is_empty();
         for change in changes.changes {
             apply_change(node, self.kind, change);
@@ -352,3 +375,7 @@
         state.roster.on_store_back(now);
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/sync.rs"]
+mod tests;
