--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -212,6 +212,10 @@
     /// store itself.
     fn is_fallback_due(&mut self, now: Time) -> bool {
         let mut state = self.node.state.borrow_mut();
+        if state.peers.role() == Role::Direct {
+            // The calls of a few entries cost less than a change that comes too late.
+            return true;
+        }
         let entries = state.peers.registered_count();
         let spread = FALLBACK_DELAY_PER_ENTRY * u32::try_from(entries).unwrap_or(u32::MAX);
         let mut delay = || MIN_FALLBACK_DELAY + spread.mul_f64(state.rng.random_range(1.0..3.0));
