--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,7 @@
 //! The state that the handlers and controllers of one daemon share.
 
+mod guards;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -26,6 +28,8 @@
 use crate::tickets::Tickets;
 use crate::trace::Traces;
 use crate::view::{View, has_parts};
+pub(crate) use guards::OpenRequest;
+use guards::WaitGuard;
 
 /// The state machines of `bulrushhoist-core`, which make the decisions, under one lock.
 pub(crate) struct Core {
@@ -322,11 +326,7 @@
         let id = request.id;
         let (waiter, decision) = oneshot::channel();
         self.waiters().insert(id, waiter);
-        let guard = WaitGuard {
-            node: self,
-            id,
-            armed: true,
-        };
+        let guard = WaitGuard::new(self, id);
         let actions = self.core().dispatcher.submit(self.now(), request);
         self.apply_actions(actions);
         let result = decision.await;
@@ -437,9 +437,7 @@
     /// Counts a request as in progress; returns `None` if there are too many.
     pub(crate) fn open_request(self: &Arc<Self>) -> Option<OpenRequest> {
         let open = self.open_requests.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenRequest {
-            node: Arc::clone(self),
-        };
+        let guard = OpenRequest::new(self);
         (open < self.settings.limits.max_requests).then_some(guard)
     }
 
@@ -466,41 +464,3 @@
     core.dispatcher.router_mut().set_serving(&key, until);
     until.is_some()
 }
-
-/// Counts one request as in progress until it is dropped.
-pub(crate) struct OpenRequest {
-    node: Arc<Node>,
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.node.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Cancels a request whose caller disconnects while it is queued, or just after it was
-/// started.
-struct WaitGuard<'a> {
-    node: &'a Node,
-    id: RequestId,
-    armed: bool,
-}
-
-impl WaitGuard<'_> {
-    fn disarm(mut self) {
-        self.armed = false;
-    }
-}
-
-impl Drop for WaitGuard<'_> {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
-        if self.node.waiters().remove(&self.id).is_some() {
-            self.node.core().dispatcher.cancel_queued(self.id);
-        } else {
-            self.node.finish(self.id, Outcome::Cancelled);
-        }
-    }
-}
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -76,7 +76,7 @@
 const DIGEST_TTL: Duration = Duration::from_millis(2_500);
 /// Time without digests after which another entry takes a hub's place.
 const HUB_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time for which an unresponsive hub isn't chosen again.
+/// Time for which an unresponsive hub is left out.
 const HUB_BACKOFF: Duration = Duration::from_secs(5);
 /// Time for which reported suspicions and slow leaders are passed on.
 const NEWS_TTL: Duration = Duration::from_millis(1_500);
--- a/crates/fleet/src/membership/hubs.rs
+++ b/crates/fleet/src/membership/hubs.rs
@@ -59,8 +59,7 @@
         entry.is_some_and(|e| e.data_centre == *self.own_data_centre())
     }
 
-    /// Returns whether an entry may be chosen as a hub: nothing speaks against its being
-    /// alive.
+    /// Returns whether an entry may be a hub or a watcher: nothing indicates that it is dead.
     pub(super) fn is_available(&self, now: Time, key: u32) -> bool {
         if self.unresponsive.contains_key(&key) {
             return false;
--- a/crates/oracle/src/cold.rs
+++ b/crates/oracle/src/cold.rs
@@ -5,6 +5,8 @@
 //! oracle requires that the number of running requests never exceeds the
 //! endpoint's current limit.
 
+mod actions;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,10 +16,11 @@
     Outcome, Register, ReplicaKey, ReplicaLimit, ReplicaView, RequestId, Revision, ShareStatement,
     Time,
 };
-use proptest::collection::vec;
-use proptest::prelude::{Just, Strategy, prop_oneof};
 use smallvec::SmallVec;
 
+use actions::pick;
+pub use actions::{ColdStartAction, cold_start_actions};
+
 use crate::fixtures::{self, ModelFixture};
 
 /// Maximum age of the register copy of an entry that takes requests.
@@ -29,8 +32,6 @@
 /// It exceeds [`MAX_RUN_TIME`], so that by then every request sent under
 /// earlier shares has ended.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(30);
-/// Upper bound of the drawn numbers that pick an entry or a request.
-const MAX_PICK: usize = 1 << 16;
 /// Maximum number of registered entries.
 const MAX_ENTRIES: usize = 9;
 
@@ -43,53 +44,6 @@
     team_limit: 1000,
 };
 
-/// One step of the simulation.
-#[derive(Clone, Debug)]
-pub enum ColdStartAction {
-    /// Advances the clock by this many milliseconds.
-    Advance(u64),
-    /// A new entry registers.
-    Register,
-    /// An entry without running requests deregisters.
-    Deregister(usize),
-    /// An entry's process crashes, and a new one registers at its address.
-    /// Requests of the old process keep running at the endpoint.
-    Crash(usize),
-    /// An entry reads the newest register.
-    ReadRegister(usize),
-    /// Callers send this many requests to an entry.
-    Send(usize, u8),
-    /// A running request ends.
-    Finish(usize),
-    /// An entry probes the endpoint and receives its load report.
-    Probe(usize),
-    /// An entry requests a share statement from every other entry.
-    RequestStatements(usize),
-    /// A share statement arrives.
-    DeliverStatement(usize),
-    /// The endpoint restarts cold and loses its requests.
-    RestartEndpoint,
-}
-
-/// Returns a strategy that draws the actions of one run.
-pub fn cold_start_actions() -> impl Strategy<Value = Vec<ColdStartAction>> {
-    let index = || 0..MAX_PICK;
-    let action = prop_oneof![
-        16 => (1_u64..2_000).prop_map(ColdStartAction::Advance),
-        8 => Just(ColdStartAction::Register),
-        4 => index().prop_map(ColdStartAction::Deregister),
-        1 => index().prop_map(ColdStartAction::Crash),
-        16 => index().prop_map(ColdStartAction::ReadRegister),
-        32 => (index(), 1_u8..12).prop_map(|(i, n)| ColdStartAction::Send(i, n)),
-        24 => index().prop_map(ColdStartAction::Finish),
-        32 => index().prop_map(ColdStartAction::Probe),
-        32 => index().prop_map(ColdStartAction::RequestStatements),
-        128 => index().prop_map(ColdStartAction::DeliverStatement),
-        4 => Just(ColdStartAction::RestartEndpoint),
-    ];
-    vec(action, 1..300)
-}
-
 /// An entry with its dispatcher and its copy of the register.
 struct Entry {
     id: MemberId,
@@ -542,8 +496,3 @@
         Self::new()
     }
 }
-
-/// Maps a drawn number to an index, or to `None` if there is nothing to pick.
-fn pick(index: usize, len: usize) -> Option<usize> {
-    (len > 0).then(|| index % len)
-}
