Log and count every attempt that breaks, with its strike

Change: a line 'attempt broken' and the counter bulrushhoist_broken_attempts{kind,struck}; no decision changes.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use slog::info;
 
 use crate::call::Call;
 use crate::connection::{Connection, ConnectionError};
@@ -179,6 +180,28 @@
     }
 }
 
+/// Whether a broken attempt counted as a crash of its endpoint under the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Strike {
+    Counted,
+    NotCounted,
+}
+
+/// Logs and counts an attempt whose connection broke after the request was sent. `events`
+/// is the number of events that the caller has got.
+pub(crate) fn report_broken(
+    node: &Node,
+    call: &Call,
+    endpoint: &Endpoint,
+    events: usize,
+    strike: Strike,
+) {
+    let struck = strike == Strike::Counted;
+    node.metrics.on_broken_attempt(call.route.kind, struck);
+    let strikes = node.state.borrow().quarantine.strikes(call.fingerprint);
+    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "events" => events, "struck" => struck, "strikes" => strikes);
+}
+
 /// Reports a connection error to the health monitor and classifies it.
 fn on_connection_error(node: &Node, endpoint: &Endpoint, error: &ConnectionError) -> AttemptError {
     let cause = error.to_string();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bulrushhoist_fleet::CallKind;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -34,6 +35,7 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    broken_attempts: Counter<u64>,
     orders: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
@@ -73,6 +75,10 @@
             answers: counter("bulrushhoist_answers", "Answers by kind of call and status"),
             refusals: counter("bulrushhoist_refusals", "Refusals by reason"),
             retries: counter("bulrushhoist_retries", "Retries by cause"),
+            broken_attempts: counter(
+                "bulrushhoist_broken_attempts",
+                "Attempts whose connection broke after the request was sent, by kind of call and whether the request got a strike",
+            ),
             orders: counter(
                 "bulrushhoist_orders",
                 "Orders to endpoints by kind and answer",
@@ -107,8 +113,8 @@
         })
     }
 
-    pub(crate) fn on_answer(&self, kind: &'static str, status: u16, took: Duration) {
-        let kind = KeyValue::new("kind", kind);
+    pub(crate) fn on_answer(&self, kind: CallKind, status: u16, took: Duration) {
+        let kind = KeyValue::new("kind", kind.to_string());
         self.first_part
             .record(took.as_secs_f64(), std::slice::from_ref(&kind));
         let status = KeyValue::new("status", i64::from(status));
@@ -125,6 +131,14 @@
             .add(1, &[KeyValue::new("cause", cause.to_string())]);
     }
 
+    pub(crate) fn on_broken_attempt(&self, kind: CallKind, struck: bool) {
+        let labels = [
+            KeyValue::new("kind", kind.to_string()),
+            KeyValue::new("struck", struck),
+        ];
+        self.broken_attempts.add(1, &labels);
+    }
+
     pub(crate) fn on_order(&self, kind: &'static str, answer: &str) {
         let labels = [
             KeyValue::new("kind", kind),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,7 +8,7 @@
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
 
-use crate::attempt::{self, AttemptError, InFlight, WaitPolicy};
+use crate::attempt::{self, AttemptError, InFlight, Strike, WaitPolicy, report_broken};
 use crate::call::Call;
 use crate::connection::collect;
 use crate::node::Node;
@@ -115,7 +115,12 @@
             node.on_activity(&endpoint.id, endpoint.incarnation);
             Ok(answer)
         }
-        Ok(Err(failed)) => Err(failed),
+        Ok(Err(failed)) => {
+            if matches!(failed, AttemptError::MayHaveRun(RetryCause::Broken)) {
+                report_broken(node, call, endpoint, 0, Strike::NotCounted);
+            }
+            Err(failed)
+        }
     }
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -279,13 +279,8 @@
         Ok((parts, body, endpoint)) => {
             let took = node.now().since(received);
             let status = parts.status.as_u16();
-            let label = match kind {
-                CallKind::Safe => "safe",
-                CallKind::Unsafe => "unsafe",
-                CallKind::Stream => "stream",
-            };
-            node.metrics.on_answer(label, status, took);
-            info!(node.log, "answered"; "request" => text(&id), "status" => status, "kind" => label, "route" => &*context.route, "service" => &*context.service, "version" => context.version, "endpoint" => &*endpoint, "took_ms" => took.as_millis() as u64);
+            node.metrics.on_answer(kind, status, took);
+            info!(node.log, "answered"; "request" => text(&id), "status" => status, "kind" => %kind, "route" => &*context.route, "service" => &*context.service, "version" => context.version, "endpoint" => &*endpoint, "took_ms" => took.as_millis() as u64);
             if kind != CallKind::Stream {
                 node.state
                     .borrow_mut()
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,7 +17,9 @@
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
-use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
+use crate::attempt::{
+    self, AttemptError, InFlight, Strike, WaitError, WaitPolicy, report_broken, wait_for,
+};
 use crate::body::Truncated;
 use crate::call::Call;
 use crate::connection::Connection;
@@ -189,7 +191,11 @@
     let mut in_flight = InFlight::start(node, endpoint, call.work.prompt_tokens);
     let endpoint = &in_flight.endpoint;
     let last = progress.splitter.last_id();
-    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, last).await?;
+    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, last).await;
+    if matches!(opened, Err(AttemptError::MayHaveRun(RetryCause::Broken))) {
+        report_broken(node, call, endpoint, progress.events, Strike::NotCounted);
+    }
+    let opened = opened?;
     let (parts, mut body) = opened.response.into_parts();
     let connection = opened.connection;
     if !parts.status.is_success() {
@@ -226,7 +232,13 @@
                 in_flight.endpoint.id.clone(),
             ))
         }
-        Err(failed) => Err(report_failure(node, call, &in_flight, failed)),
+        Err(failed) => Err(report_failure(
+            node,
+            call,
+            &in_flight,
+            progress.events,
+            failed,
+        )),
     }
 }
 
@@ -246,6 +258,7 @@
     node: &Node,
     call: &Call,
     in_flight: &InFlight,
+    events: usize,
     failed: AttemptError,
 ) -> AttemptError {
     let endpoint = &in_flight.endpoint;
@@ -258,9 +271,13 @@
             // no sign that the request crashed it.
             let record = state.roster.get(&endpoint.id);
             let membership = record.and_then(|e| e.membership.as_ref());
+            let mut strike = Strike::NotCounted;
             if membership.is_none_or(|m| m.state == GroupState::Open) {
                 state.strike(now, call.fingerprint, &endpoint.id, endpoint.incarnation);
+                strike = Strike::Counted;
             }
+            drop(state);
+            report_broken(node, call, endpoint, events, strike);
         }
         AttemptError::MayHaveRun(RetryCause::Silent) => {
             node.suspect(&endpoint.id, endpoint.incarnation, "stream stalled");
@@ -366,7 +383,7 @@
                     .on_finished(call.fingerprint, true);
                 break "whole";
             }
-            Err(failed) => report_failure(node, call, &running.in_flight, failed),
+            Err(failed) => report_failure(node, call, &running.in_flight, progress.events, failed),
         };
         if matches!(failed, AttemptError::TimedOut) || !call.route.resumable {
             let _ = chunks.send(Err(Truncated)).await;
