Give a request a strike at every place where its attempt breaks

Cause: only the reader of a stream's events recorded a strike. A plain call never did, nor did a stream that broke before the head of its answer. Change: strikes are recorded where a connection error is classified, which every attempt passes, and where a body breaks off; a body that is too large is no crash.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::Endpoint;
+use bulrushhoist_fleet::{Endpoint, GroupState};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -46,6 +46,13 @@
         }
     }
 
+    pub(crate) const fn phase(&self) -> AnswerPhase {
+        match self.prefill_tokens {
+            Some(_) => AnswerPhase::Waiting,
+            None => AnswerPhase::Begun,
+        }
+    }
+
     /// Records the first event, which shows that the prompt has been read.
     pub(crate) fn on_first_event(&mut self) {
         if let Some(prefill_tokens) = self.prefill_tokens.take() {
@@ -141,7 +148,8 @@
     let mut reuse = reuse;
     loop {
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
-        let mut connection = connection.map_err(|e| on_connection_error(node, endpoint, &e))?;
+        let mut connection =
+            connection.map_err(|e| on_connection_error(node, call, endpoint, &e))?;
         let request = build_request(node, call, endpoint, deadline, last_event);
         node.on_call_bytes(endpoint, call.body.len());
         let sent = wait_for(
@@ -168,7 +176,7 @@
                 reuse = Reuse::Recent;
                 continue;
             }
-            Ok(Err(error)) => return Err(on_connection_error(node, endpoint, &error)),
+            Ok(Err(error)) => return Err(on_connection_error(node, call, endpoint, &error)),
             Ok(Ok(response)) => response,
         };
         apply_keep_alive(node, &mut connection, response.headers());
@@ -180,36 +188,48 @@
     }
 }
 
-/// Whether a broken attempt counted as a crash of its endpoint under the request.
+/// How far an endpoint has come with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Strike {
-    Counted,
-    NotCounted,
+pub(crate) enum AnswerPhase {
+    /// No event of its answer has arrived.
+    Waiting,
+    /// It is writing a stream.
+    Begun,
 }
 
-/// Logs and counts an attempt whose connection broke after the request was sent. `events`
-/// is the number of events that the caller has got.
-pub(crate) fn report_broken(
-    node: &Node,
-    call: &Call,
-    endpoint: &Endpoint,
-    events: usize,
-    strike: Strike,
-) {
-    let struck = strike == Strike::Counted;
+/// Records an attempt whose connection broke after the request was sent: its endpoint may
+/// have crashed under the request, which gives the request a strike.
+pub(crate) fn record_broken(node: &Node, call: &Call, endpoint: &Endpoint, phase: AnswerPhase) {
+    let mut state = node.state.borrow_mut();
+    // A leader that was told to leave its group also ends its streams, which is no sign that
+    // the request crashed it.
+    let record = state.roster.get(&endpoint.id);
+    let membership = record.and_then(|e| e.membership.as_ref());
+    let struck = membership.is_none_or(|m| m.state == GroupState::Open);
+    if struck {
+        let now = node.now();
+        state.strike(now, call.fingerprint, &endpoint.id, endpoint.incarnation);
+    }
+    let strikes = state.quarantine.strikes(call.fingerprint);
+    drop(state);
     node.metrics.on_broken_attempt(call.route.kind, struck);
-    let strikes = node.state.borrow().quarantine.strikes(call.fingerprint);
-    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "events" => events, "struck" => struck, "strikes" => strikes);
+    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "begun" => phase == AnswerPhase::Begun, "struck" => struck, "strikes" => strikes);
 }
 
-/// Reports a connection error to the health monitor and classifies it.
-fn on_connection_error(node: &Node, endpoint: &Endpoint, error: &ConnectionError) -> AttemptError {
+/// Reports a connection error to the health monitor and the quarantine, and classifies it.
+fn on_connection_error(
+    node: &Node,
+    call: &Call,
+    endpoint: &Endpoint,
+    error: &ConnectionError,
+) -> AttemptError {
     let cause = error.to_string();
     if error.is_unsent() {
         node.pool.drop_endpoint(&endpoint.id);
         node.suspect(&endpoint.id, endpoint.incarnation, &cause);
     } else {
         node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause);
+        record_broken(node, call, endpoint, AnswerPhase::Waiting);
     }
     if error.is_refused() {
         let now = node.now();
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -6,7 +6,7 @@
 
 use bulrushhoist_core::Time;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
@@ -33,9 +33,12 @@
     /// No answer arrived in time.
     #[display("timed out")]
     TimedOut,
-    /// The body of the answer could not be read, or is too large.
-    #[display("unusable body: {_0}")]
-    Body(String),
+    /// The connection failed before the body of the answer was complete.
+    #[display("incomplete body: {_0}")]
+    Incomplete(String),
+    /// The body of the answer is larger than allowed.
+    #[display("body too large")]
+    TooLarge,
 }
 
 impl ConnectionError {
@@ -141,7 +144,9 @@
 /// Reads a complete body of bounded size.
 pub(crate) async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, ConnectionError> {
     let complete = Limited::new(body, max_bytes).collect().await;
-    complete
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|e| ConnectionError::Body(e.to_string()))
+    match complete {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ConnectionError::TooLarge),
+        Err(error) => Err(ConnectionError::Incomplete(error.to_string())),
+    }
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,9 +8,9 @@
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
 
-use crate::attempt::{self, AttemptError, InFlight, Strike, WaitPolicy, report_broken};
+use crate::attempt::{self, AnswerPhase, AttemptError, InFlight, WaitPolicy, record_broken};
 use crate::call::Call;
-use crate::connection::collect;
+use crate::connection::{ConnectionError, collect};
 use crate::node::Node;
 use crate::outcome::{Refusal, RetryCause};
 
@@ -115,12 +115,7 @@
             node.on_activity(&endpoint.id, endpoint.incarnation);
             Ok(answer)
         }
-        Ok(Err(failed)) => {
-            if matches!(failed, AttemptError::MayHaveRun(RetryCause::Broken)) {
-                report_broken(node, call, endpoint, 0, Strike::NotCounted);
-            }
-            Err(failed)
-        }
+        Ok(Err(failed)) => Err(failed),
     }
 }
 
@@ -133,7 +128,13 @@
     let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, None).await?;
     let (parts, body) = opened.response.into_parts();
     let body = collect(body, MAX_ANSWER_BYTES).await;
-    let body = body.map_err(|_| AttemptError::MayHaveRun(RetryCause::Broken))?;
+    let body = body.map_err(|error| {
+        if let ConnectionError::Incomplete(cause) = error {
+            node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause);
+            record_broken(node, call, endpoint, AnswerPhase::Waiting);
+        }
+        AttemptError::MayHaveRun(RetryCause::Broken)
+    })?;
     node.on_call_bytes(endpoint, body.len());
     node.pool.put(node.now(), endpoint, opened.connection);
     Ok(PlainAnswer {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_fleet::{Endpoint, GroupState, LeaderChoice, Name, SlotLimit};
+use bulrushhoist_fleet::{Endpoint, LeaderChoice, Name, SlotLimit};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 use crate::attempt::{
-    self, AttemptError, InFlight, Strike, WaitError, WaitPolicy, report_broken, wait_for,
+    self, AttemptError, InFlight, WaitError, WaitPolicy, record_broken, wait_for,
 };
 use crate::body::Truncated;
 use crate::call::Call;
@@ -191,16 +191,15 @@
     let mut in_flight = InFlight::start(node, endpoint, call.work.prompt_tokens);
     let endpoint = &in_flight.endpoint;
     let last = progress.splitter.last_id();
-    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, last).await;
-    if matches!(opened, Err(AttemptError::MayHaveRun(RetryCause::Broken))) {
-        report_broken(node, call, endpoint, progress.events, Strike::NotCounted);
-    }
-    let opened = opened?;
+    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, last).await?;
     let (parts, mut body) = opened.response.into_parts();
     let connection = opened.connection;
     if !parts.status.is_success() {
         let read = wait_for(node, endpoint, call.deadline, wait_policy, body.collect()).await;
         let Ok(Ok(body)) = read else {
+            if let Ok(Err(_)) = read {
+                record_broken(node, call, endpoint, in_flight.phase());
+            }
             return Err(AttemptError::MayHaveRun(RetryCause::Broken));
         };
         let retry = parts.status.is_server_error() && call.route.is_idempotent();
@@ -232,13 +231,7 @@
                 in_flight.endpoint.id.clone(),
             ))
         }
-        Err(failed) => Err(report_failure(
-            node,
-            call,
-            &in_flight,
-            progress.events,
-            failed,
-        )),
+        Err(failed) => Err(report_failure(node, call, &in_flight, failed)),
     }
 }
 
@@ -258,26 +251,13 @@
     node: &Node,
     call: &Call,
     in_flight: &InFlight,
-    events: usize,
     failed: AttemptError,
 ) -> AttemptError {
     let endpoint = &in_flight.endpoint;
     match failed {
         AttemptError::MayHaveRun(RetryCause::Broken) => {
             node.on_disconnect(&endpoint.id, endpoint.incarnation, "streams broke");
-            let now = node.now();
-            let mut state = node.state.borrow_mut();
-            // A leader that was told to leave its group also ends its streams, which is
-            // no sign that the request crashed it.
-            let record = state.roster.get(&endpoint.id);
-            let membership = record.and_then(|e| e.membership.as_ref());
-            let mut strike = Strike::NotCounted;
-            if membership.is_none_or(|m| m.state == GroupState::Open) {
-                state.strike(now, call.fingerprint, &endpoint.id, endpoint.incarnation);
-                strike = Strike::Counted;
-            }
-            drop(state);
-            report_broken(node, call, endpoint, events, strike);
+            record_broken(node, call, endpoint, in_flight.phase());
         }
         AttemptError::MayHaveRun(RetryCause::Silent) => {
             node.suspect(&endpoint.id, endpoint.incarnation, "stream stalled");
@@ -383,7 +363,7 @@
                     .on_finished(call.fingerprint, true);
                 break "whole";
             }
-            Err(failed) => report_failure(node, call, &running.in_flight, progress.events, failed),
+            Err(failed) => report_failure(node, call, &running.in_flight, failed),
         };
         if matches!(failed, AttemptError::TimedOut) || !call.route.resumable {
             let _ = chunks.send(Err(Truncated)).await;
