Ask the quarantine again before each send of a call

Cause: a call was checked when it arrived; its retries and the time in the queue were not. Change: the quarantine is asked before every send; a call that may have run gets 502 as before, one that waited in the queue 503 quarantined. A stream that has begun goes on elsewhere, since what crashes endpoints as it begins has no events.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -99,6 +99,16 @@
         QuarantineDecision::Probation
     }
 
+    /// Returns whether a fingerprint has too many strikes to be sent to an endpoint.
+    #[must_use]
+    pub fn is_refused(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_some_and(|s| {
+            let recent = now.since(s.last_strike) < self.settings.strike_ttl;
+            recent && s.incidents.len() >= STRIKES_TO_REFUSE
+        })
+    }
+
     /// Records the end of a request; a complete answer clears its fingerprint,
     /// unless the fingerprint already has the strikes to be refused.
     pub fn on_finished(&mut self, fingerprint: Fingerprint, answered: bool) {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -42,6 +42,9 @@
         let Some(endpoint) = choose_endpoint(node, call, now, &tried) else {
             return failure.ok_or(refusal);
         };
+        if sends > 0 && node.is_quarantined(call) {
+            return failure.ok_or(refusal);
+        }
         if sends > 0
             && !node
                 .state
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -110,6 +110,14 @@
             }
             Err(reason) => return Err(if retried { refusal } else { reason }),
         };
+        // A stream that has begun isn't what crashes endpoints, and goes on elsewhere.
+        if progress.events == 0 && node.is_quarantined(call) {
+            return Err(if retried {
+                refusal
+            } else {
+                Refusal::Quarantined
+            });
+        }
         if retried {
             let now = node.now();
             let mut state = node.state.borrow_mut();
