Send the strikes of refused requests to the other entries first

Cause: a message has room for 32 strikes and took them in the order of a hash map, so that with more suspects the same 32 were sent each time, and a request that one entry refused could stay unknown to the others for ten minutes. Change: most strikes first, then the newest. The daemon uses the same function.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -9,6 +9,7 @@
 //! With two strikes it is refused until the strikes expire. See
 //! `docs/decisions/0007-quarantine.md`.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -160,13 +161,16 @@
             .map_or(&[], |s| s.incidents.as_slice())
     }
 
-    /// Returns up to `max` fingerprints with their incidents, to be sent to
-    /// other daemons.
+    /// Returns up to `max` fingerprints with their incidents, to be sent to other daemons:
+    /// those with the most strikes first, then the newest. The fingerprints that ran beside
+    /// a crash may fill any message.
     pub fn suspects(&self, max: usize) -> impl Iterator<Item = (Fingerprint, &[u64])> {
-        self.suspects
-            .iter()
-            .map(|(f, s)| (*f, s.incidents.as_slice()))
-            .take(max)
+        let mut suspects: Vec<(&Fingerprint, &Suspect)> = self.suspects.iter().collect();
+        suspects.sort_unstable_by_key(|(f, s)| {
+            (Reverse(s.incidents.len()), Reverse(s.last_strike), **f)
+        });
+        let sent = suspects.into_iter().take(max);
+        sent.map(|(f, s)| (*f, s.incidents.as_slice()))
     }
 
     /// Returns the number of fingerprints that were evicted because
