--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -213,7 +213,12 @@
     let strikes = state.quarantine.strikes(call.fingerprint);
     drop(state);
     node.metrics.on_broken_attempt(call.route.kind, struck);
-    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "begun" => phase == AnswerPhase::Begun, "struck" => struck, "strikes" => strikes);
+    let parts: Vec<String> = call
+        .parts
+        .iter()
+        .map(|p| format!("{:x}", p.get()))
+        .collect();
+    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "parts" => parts.join(","), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "begun" => phase == AnswerPhase::Begun, "struck" => struck, "strikes" => strikes);
 }
 
 /// Reports a connection error to the health monitor and the quarantine, and classifies it.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -18,6 +18,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use rand::RngExt as _;
+use smallvec::SmallVec;
 
 use crate::node::Node;
 use crate::outcome::Refusal;
@@ -25,6 +26,12 @@
 /// Expected number of output tokens of a request that does not say.
 const DEFAULT_ANSWER_TOKENS: u32 = 100;
 
+/// Maximum number of shared parts of a prompt that are told apart.
+const MAX_SHARED_PARTS: usize = 16;
+
+/// Fingerprints of the parts of a prompt that other requests may share, in their order.
+pub(crate) type SharedParts = SmallVec<[Fingerprint; 2]>;
+
 /// A request that passed all checks and may be sent to endpoints.
 pub(crate) struct Call {
     pub(crate) id: HeaderValue,
@@ -39,6 +46,8 @@
     pub(crate) model: Option<Name>,
     pub(crate) work: Work,
     pub(crate) fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub(crate) parts: SharedParts,
     pub(crate) method: Method,
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
@@ -106,11 +115,12 @@
         id: request_id(node, &parts.headers),
         received,
         deadline,
-        service: routing.service,
+        service: routing.service.clone(),
         team: routing.team,
         priority: routing.priority,
         model: text(&parts.headers, &names.model).map(Name::from),
         work: estimate_work(node, &parts.headers),
+        parts: shared_parts(node, &routing.service, &parts.headers),
         fingerprint: Fingerprint::new(fingerprint),
         method: parts.method,
         target,
@@ -184,6 +194,15 @@
     }
 }
 
+/// Returns the fingerprints of the shared parts of a prompt. Equal parts at different
+/// services are run by different engines, so they differ.
+fn shared_parts(node: &Node, service: &str, headers: &HeaderMap) -> SharedParts {
+    let value = text(headers, &node.dialect.headers().prompt_parts).unwrap_or_default();
+    let ids = node.dialect.parse_shared_parts(value);
+    let hash = |id: &&str| Fingerprint::new(stable_hash([service.as_bytes(), id.as_bytes()]));
+    ids.iter().take(MAX_SHARED_PARTS).map(hash).collect()
+}
+
 /// Headers that concern one connection or the framing of one message, which a proxy must
 /// not forward.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::header::HeaderName;
+use smallvec::SmallVec;
 
 /// Names of the headers that this system reads or sets.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub tokens: HeaderName,
     /// Expected number of output tokens.
     pub length_hint: HeaderName,
+    /// Parts of the prompt, in their order.
+    pub prompt_parts: HeaderName,
     /// Id of the last event that was received, after which a stream is resumed.
     pub last_event: HeaderName,
     /// Team of the caller, for the endpoint.
@@ -172,6 +175,10 @@
     /// Returns the number of prompt tokens and the maximum number of output tokens.
     fn parse_token_counts(&self, value: &str) -> Option<(u32, u32)>;
 
+    /// Returns the ids of the parts of a prompt that other requests may share, in their
+    /// order. The last part belongs to the request or its session alone.
+    fn parse_shared_parts<'a>(&self, value: &'a str) -> SmallVec<[&'a str; 4]>;
+
     /// Returns the path of an endpoint's report.
     fn report_path(&self) -> &'static str;
     /// Decodes an endpoint's report.
