Refuse requests with a part of a prompt that crashes endpoints

Cause: the quarantine knew whole requests only, and none of these came twice. Evidence: 'attempt broken' lines name the same part for every crash, with ever new fingerprints. A part without an answer is refused from three crashes under different requests; the crashes that it explains don't count against the beginning of the prompt, which sound requests share. Waiting calls are refused at the verdict. Retry-After is the time until the strikes expire.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,19 +4,19 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, GroupState};
+use bulrushhoist_fleet::Endpoint;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use slog::info;
 
 use crate::call::Call;
 use crate::connection::{Connection, ConnectionError};
 use crate::node::Node;
 use crate::outcome::RetryCause;
 use crate::pool::Reuse;
+use crate::quarantine::AnswerPhase;
 
 /// Interval at which a waiting request checks whether its endpoint has stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(120);
@@ -188,39 +188,6 @@
     }
 }
 
-/// How far an endpoint has come with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AnswerPhase {
-    /// No event of its answer has arrived.
-    Waiting,
-    /// It is writing a stream.
-    Begun,
-}
-
-/// Records an attempt whose connection broke after the request was sent: its endpoint may
-/// have crashed under the request, which gives the request a strike.
-pub(crate) fn record_broken(node: &Node, call: &Call, endpoint: &Endpoint, phase: AnswerPhase) {
-    let mut state = node.state.borrow_mut();
-    // A leader that was told to leave its group also ends its streams, which is no sign that
-    // the request crashed it.
-    let record = state.roster.get(&endpoint.id);
-    let membership = record.and_then(|e| e.membership.as_ref());
-    let struck = membership.is_none_or(|m| m.state == GroupState::Open);
-    if struck {
-        let now = node.now();
-        state.strike(now, call.fingerprint, &endpoint.id, endpoint.incarnation);
-    }
-    let strikes = state.quarantine.strikes(call.fingerprint);
-    drop(state);
-    node.metrics.on_broken_attempt(call.route.kind, struck);
-    let parts: Vec<String> = call
-        .parts
-        .iter()
-        .map(|p| format!("{:x}", p.get()))
-        .collect();
-    info!(node.log, "attempt broken"; "request" => call.id_text(), "fingerprint" => call.fingerprint.get(), "parts" => parts.join(","), "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "begun" => phase == AnswerPhase::Begun, "struck" => struck, "strikes" => strikes);
-}
-
 /// Reports a connection error to the health monitor and the quarantine, and classifies it.
 fn on_connection_error(
     node: &Node,
@@ -234,7 +201,7 @@
         node.suspect(&endpoint.id, endpoint.incarnation, &cause);
     } else {
         node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause);
-        record_broken(node, call, endpoint, AnswerPhase::Waiting);
+        node.record_broken(call, endpoint, AnswerPhase::Waiting);
     }
     if error.is_refused() {
         let now = node.now();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{Fingerprint, Time, stable_hash};
-use bulrushhoist_fleet::{CallKind, Catalog, Denial, Name, Route, Work};
+use bulrushhoist_fleet::{CallKind, Catalog, Denial, Name, Route, SharedParts, Work};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -18,7 +18,6 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use rand::RngExt as _;
-use smallvec::SmallVec;
 
 use crate::node::Node;
 use crate::outcome::Refusal;
@@ -27,10 +26,7 @@
 const DEFAULT_ANSWER_TOKENS: u32 = 100;
 
 /// Maximum number of shared parts of a prompt that are told apart.
-const MAX_SHARED_PARTS: usize = 16;
-
-/// Fingerprints of the parts of a prompt that other requests may share, in their order.
-pub(crate) type SharedParts = SmallVec<[Fingerprint; 2]>;
+pub(crate) const MAX_SHARED_PARTS: usize = 16;
 
 /// A request that passed all checks and may be sent to endpoints.
 pub(crate) struct Call {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod plain;
 mod pool;
+mod quarantine;
 mod records;
 mod relay;
 mod run;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::CallKind;
+use bulrushhoist_fleet::{CallKind, Subject};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -43,6 +43,7 @@
     bad_datagrams: Counter<u64>,
     first_part: Histogram<f64>,
     waited: Histogram<f64>,
+    quarantined: Gauge<u64>,
     version: Gauge<u64>,
 }
 
@@ -104,6 +105,10 @@
                 "bulrushhoist_waited_seconds",
                 "Time that requests waited for a leader",
             ),
+            quarantined: meter
+                .u64_gauge("bulrushhoist_quarantined")
+                .with_description("Requests and parts of prompts that are refused")
+                .build(),
             version: meter
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
@@ -169,6 +174,11 @@
         self.waited.record(waited.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn set_quarantined(&self, subject: Subject, count: usize) {
+        let subject = KeyValue::new("subject", subject.to_string());
+        self.quarantined.record(count as u64, &[subject]);
+    }
+
     pub(crate) fn set_version(&self, version: u64) {
         self.version.record(version, &[]);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,7 +14,6 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
-use crate::call::Call;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::metrics::{ByteCause, Metrics};
@@ -50,6 +49,8 @@
     pub(crate) relay: Relay,
     /// Wakes the planner when something changed that may call for orders.
     pub(crate) planner_wake: Notify,
+    /// Wakes the calls that wait when something is quarantined.
+    pub(crate) quarantine_changed: Notify,
 }
 
 impl Node {
@@ -83,6 +84,7 @@
             pool: ConnectionPool::default(),
             relay: Relay::default(),
             planner_wake: Notify::new(),
+            quarantine_changed: Notify::new(),
         }
     }
 
@@ -107,14 +109,6 @@
         self.now().since(since) >= FULL_SERVICE_TIME && end + EXIT_MARGIN > stop
     }
 
-    /// Returns whether a call must not be sent to an endpoint any more, because endpoints
-    /// have crashed under it or under equal ones.
-    pub(crate) fn is_quarantined(&self, call: &Call) -> bool {
-        let now = self.now();
-        let state = self.state.borrow();
-        state.quarantine.is_refused(now, call.fingerprint)
-    }
-
     /// Suspects an endpoint after a request failed or stalled there.
     pub(crate) fn suspect(&self, endpoint: &Name, incarnation: u64, cause: &str) {
         let now = self.now();
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -28,6 +28,8 @@
     WaitedOut,
     /// Several endpoints were lost while they ran it.
     Quarantined,
+    /// Several endpoints were lost under requests that share a part of its prompt.
+    QuarantinedPart,
     /// Endpoints refused it without running it.
     EndpointRefused,
     /// An endpoint may have run it and the answer is lost.
@@ -39,6 +41,11 @@
 }
 
 impl Refusal {
+    /// Returns whether the request is refused because endpoints crashed under it.
+    pub(crate) const fn is_quarantine(self) -> bool {
+        matches!(self, Self::Quarantined | Self::QuarantinedPart)
+    }
+
     /// Returns the status of the answer. The statuses 421, 429 and 503 promise that the
     /// request has not run and never will.
     pub(crate) const fn status(self) -> StatusCode {
@@ -55,6 +62,7 @@
             | Self::LineFull
             | Self::WaitedOut
             | Self::Quarantined
+            | Self::QuarantinedPart
             | Self::EndpointRefused
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/entry/src/peer_messages.rs
+++ b/crates/entry/src/peer_messages.rs
@@ -4,12 +4,16 @@
 //! that another build of the program wrote in an older format has none of these fields
 //! and isn't understood.
 
+use std::time::Duration;
+
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope, Sender, SlowLeader,
-    Suspicion,
+    Aged, Answer, CrashReport, Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope,
+    Sender, SlowLeader, Subject, Suspicion,
 };
 
+use crate::call::MAX_SHARED_PARTS;
+
 /// A [`Suspicion`] on the wire.
 #[derive(Clone, PartialEq, prost::Message)]
 struct SuspicionMessage {
@@ -36,12 +40,35 @@
     /// The slowdowns in percent, in the order of the keys.
     #[prost(uint32, repeated, tag = "6")]
     slow_percent: Vec<u32>,
-    #[prost(fixed64, repeated, tag = "7")]
-    strike_requests: Vec<u64>,
-    /// Incidents of the strikes, in the order of the requests. Strikes at the same
-    /// incident count once.
-    #[prost(fixed64, repeated, tag = "8")]
-    strike_incidents: Vec<u64>,
+    // Tags 7 and 8 had the strikes of requests.
+    #[prost(message, repeated, tag = "9")]
+    crashes: Vec<CrashMessage>,
+    #[prost(message, repeated, tag = "10")]
+    answers: Vec<AnswerMessage>,
+}
+
+/// A [`CrashReport`] on the wire.
+#[derive(Clone, PartialEq, prost::Message)]
+struct CrashMessage {
+    #[prost(fixed64, tag = "1")]
+    run: u64,
+    #[prost(fixed64, tag = "2")]
+    request: u64,
+    #[prost(fixed64, repeated, tag = "3")]
+    parts: Vec<u64>,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+}
+
+/// An [`Answer`] on the wire.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct AnswerMessage {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    #[prost(bool, tag = "2")]
+    is_part: bool,
+    #[prost(uint32, tag = "3")]
+    age_ms: u32,
 }
 
 /// A [`Sender`] on the wire.
@@ -227,8 +254,8 @@
             suspects: suspects.collect(),
             slow_keys: news.slow.iter().map(|s| s.key).collect(),
             slow_percent: news.slow.iter().map(percent).collect(),
-            strike_requests: news.strikes.iter().map(|(f, _)| f.get()).collect(),
-            strike_incidents: news.strikes.iter().map(|(_, i)| *i).collect(),
+            crashes: news.crashes.iter().map(CrashMessage::from).collect(),
+            answers: news.answers.iter().map(AnswerMessage::from).collect(),
         }
     }
 }
@@ -238,8 +265,7 @@
         let loads = self.load_keys.len();
         let consistent = self.load_requests.len() == loads
             && self.load_tokens.len() == loads
-            && self.slow_keys.len() == self.slow_percent.len()
-            && self.strike_requests.len() == self.strike_incidents.len();
+            && self.slow_keys.len() == self.slow_percent.len();
         if !consistent {
             return None;
         }
@@ -250,7 +276,6 @@
             prefill_tokens: self.load_tokens[i],
         });
         let slow = self.slow_keys.iter().zip(&self.slow_percent);
-        let strikes = self.strike_requests.iter().zip(&self.strike_incidents);
         let mut news = News {
             loads: loads.collect(),
             suspects: self.suspects.into_iter().map(Suspicion::from).collect(),
@@ -260,15 +285,65 @@
                     slowdown: f64::from(*percent) / 100.0,
                 })
                 .collect(),
-            strikes: strikes
-                .map(|(request, incident)| (Fingerprint::from(*request), *incident))
-                .collect(),
+            crashes: self.crashes.into_iter().map(Aged::from).collect(),
+            answers: self.answers.into_iter().map(Aged::from).collect(),
         };
         news.limit();
         Some(news)
     }
 }
 
+fn age_ms(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl From<&Aged<CrashReport>> for CrashMessage {
+    fn from(crash: &Aged<CrashReport>) -> Self {
+        Self {
+            run: crash.item.run,
+            request: crash.item.request.get(),
+            parts: crash.item.parts.iter().map(|p| p.get()).collect(),
+            age_ms: age_ms(crash.age),
+        }
+    }
+}
+
+impl From<CrashMessage> for Aged<CrashReport> {
+    fn from(message: CrashMessage) -> Self {
+        let parts = message.parts.into_iter().take(MAX_SHARED_PARTS);
+        let item = CrashReport {
+            run: message.run,
+            request: message.request.into(),
+            parts: parts.map(Fingerprint::from).collect(),
+        };
+        let age = Duration::from_millis(message.age_ms.into());
+        Self { item, age }
+    }
+}
+
+impl From<&Aged<Answer>> for AnswerMessage {
+    fn from(answer: &Aged<Answer>) -> Self {
+        Self {
+            key: answer.item.key.get(),
+            is_part: answer.item.subject == Subject::Part,
+            age_ms: age_ms(answer.age),
+        }
+    }
+}
+
+impl From<AnswerMessage> for Aged<Answer> {
+    fn from(message: AnswerMessage) -> Self {
+        let subject = match message.is_part {
+            true => Subject::Part,
+            false => Subject::Request,
+        };
+        let key = message.key.into();
+        let age = Duration::from_millis(message.age_ms.into());
+        let item = Answer { subject, key };
+        Self { item, age }
+    }
+}
+
 impl From<SuspicionMessage> for Suspicion {
     fn from(message: SuspicionMessage) -> Self {
         Self {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -23,8 +23,6 @@
 
 /// Maximum size of a datagram. It has room for the longest lists of a message.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 24 * 1_024;
-/// Maximum number of strikes in one message.
-const MAX_STRIKES_PER_MESSAGE: usize = 32;
 /// Maximum number of names in one log line.
 const MAX_LOGGED_NAMES: usize = 8;
 /// Minimum time between two log lines about datagrams that aren't understood.
@@ -129,18 +127,18 @@
     let loads = node.own_loads();
     let suspects = node.recent_suspicions();
     let slow = node.slow_leaders();
-    let state = node.state.borrow();
-    let strikes = state.quarantine.suspects(MAX_STRIKES_PER_MESSAGE);
-    let strikes = strikes.flat_map(|(fingerprint, incidents)| {
-        incidents
-            .iter()
-            .map(move |incident| (fingerprint, *incident))
-    });
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let crashes = state.quarantine.reports(now);
+    let answers = state.quarantine.answers(now);
+    drop(state);
+    node.report_verdicts();
     let mut news = News {
         loads,
         suspects,
         slow,
-        strikes: strikes.take(MAX_STRIKES_PER_MESSAGE).collect(),
+        crashes,
+        answers,
     };
     news.limit();
     OwnNews { status, news }
@@ -187,8 +185,8 @@
 fn apply(node: &Node, message: PeerMessage) {
     let now = node.now();
     let mut newly_suspected = false;
-    let mut state = node.state.borrow_mut();
-    let state = &mut *state;
+    let mut borrowed = node.state.borrow_mut();
+    let state = &mut *borrowed;
     let news = match &message {
         PeerMessage::Report(report) => &report.news,
         PeerMessage::Digest(digest) => &digest.news,
@@ -203,13 +201,13 @@
                     .on_failure(now, &suspicion.endpoint, suspicion.incarnation);
         }
     }
-    for (fingerprint, incident) in &news.strikes {
-        state.quarantine.strike(now, *fingerprint, *incident);
-    }
+    state.quarantine.merge(now, &news.crashes, &news.answers);
     match message {
         PeerMessage::Report(report) => state.peers.on_report(now, report),
         PeerMessage::Digest(digest) => state.peers.on_digest(now, digest),
     };
+    drop(borrowed);
+    node.report_verdicts();
     if newly_suspected {
         node.planner_wake.notify_one();
     }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -8,11 +8,12 @@
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
 
-use crate::attempt::{self, AnswerPhase, AttemptError, InFlight, WaitPolicy, record_broken};
+use crate::attempt::{self, AttemptError, InFlight, WaitPolicy};
 use crate::call::Call;
 use crate::connection::{ConnectionError, collect};
 use crate::node::Node;
 use crate::outcome::{Refusal, RetryCause};
+use crate::quarantine::AnswerPhase;
 
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
@@ -42,7 +43,7 @@
         let Some(endpoint) = choose_endpoint(node, call, now, &tried) else {
             return failure.ok_or(refusal);
         };
-        if sends > 0 && node.is_quarantined(call) {
+        if sends > 0 && node.quarantined(call).is_some() {
             return failure.ok_or(refusal);
         }
         if sends > 0
@@ -134,7 +135,7 @@
     let body = body.map_err(|error| {
         if let ConnectionError::Incomplete(cause) = error {
             node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause);
-            record_broken(node, call, endpoint, AnswerPhase::Waiting);
+            node.record_broken(call, endpoint, AnswerPhase::Waiting);
         }
         AttemptError::MayHaveRun(RetryCause::Broken)
     })?;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_core::QuarantineDecision;
-use bulrushhoist_fleet::{CallKind, MIN_RETRY_AFTER};
+use bulrushhoist_core::Fingerprint;
+use bulrushhoist_fleet::{CallKind, MIN_RETRY_AFTER, SharedParts};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -28,6 +28,7 @@
 use crate::metrics::ByteCause;
 use crate::node::Node;
 use crate::outcome::Refusal;
+use crate::quarantine::retry_after_s;
 use crate::relay::{RelayQuery, max_relayed_body};
 use crate::state::Phase;
 use crate::stream::StreamAnswer;
@@ -219,6 +220,8 @@
     service: bulrushhoist_fleet::Name,
     model: Option<bulrushhoist_fleet::Name>,
     version: u64,
+    fingerprint: Fingerprint,
+    parts: SharedParts,
 }
 
 /// Sends a call to endpoints unless it is quarantined or would outlast a planned stop.
@@ -226,7 +229,6 @@
     let id = call.id.clone();
     let received = call.received;
     let kind = call.route.kind;
-    let fingerprint = call.fingerprint;
     let context = {
         let now = node.now();
         let mut state = node.state.borrow_mut();
@@ -237,18 +239,15 @@
             service: call.service.clone(),
             model: call.model.clone(),
             version: state.catalog.version,
+            fingerprint: call.fingerprint,
+            parts: call.parts.clone(),
         }
     };
     if node.stops_before(call.deadline) {
         return refuse(node, &id, received, Refusal::Stopping, Some(&context));
     }
-    let decision = node
-        .state
-        .borrow_mut()
-        .quarantine
-        .admit(received, fingerprint);
-    if decision == QuarantineDecision::Refused {
-        return refuse(node, &id, received, Refusal::Quarantined, Some(&context));
+    if let Some(refusal) = node.quarantine_refusal(&call) {
+        return refuse(node, &id, received, refusal, Some(&context));
     }
     let answered = match kind {
         CallKind::Safe | CallKind::Unsafe => plain::run(node, &call).await.map(|answer| {
@@ -269,23 +268,16 @@
         },
     };
     match answered {
-        Err(refusal) => {
-            node.state
-                .borrow_mut()
-                .quarantine
-                .on_finished(fingerprint, false);
-            refuse(node, &id, received, refusal, Some(&context))
-        }
+        Err(refusal) => refuse(node, &id, received, refusal, Some(&context)),
         Ok((parts, body, endpoint)) => {
-            let took = node.now().since(received);
+            let now = node.now();
+            let took = now.since(received);
             let status = parts.status.as_u16();
             node.metrics.on_answer(kind, status, took);
             info!(node.log, "answered"; "request" => text(&id), "status" => status, "kind" => %kind, "route" => &*context.route, "service" => &*context.service, "version" => context.version, "endpoint" => &*endpoint, "took_ms" => took.as_millis() as u64);
             if kind != CallKind::Stream {
-                node.state
-                    .borrow_mut()
-                    .quarantine
-                    .on_finished(fingerprint, true);
+                let mut state = node.state.borrow_mut();
+                state.quarantine.on_answered(now, context.fingerprint);
             }
             forward_answer(parts, body)
         }
@@ -331,8 +323,15 @@
     let mut response = status_only(status);
     let headers = response.headers_mut();
     headers.insert(node.dialect.headers().request_id.clone(), id.clone());
+    let quarantined = context.and_then(|c| {
+        let state = node.state.borrow();
+        state.quarantine.check(now, c.fingerprint, &c.parts)
+    });
     if refusal == Refusal::Stopping {
         headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
+    } else if let Some(quarantined) = quarantined.filter(|_| refusal.is_quarantine()) {
+        let seconds = HeaderValue::from(retry_after_s(quarantined.remaining));
+        headers.insert(RETRY_AFTER, seconds);
     } else if status == StatusCode::SERVICE_UNAVAILABLE {
         let mut state = node.state.borrow_mut();
         let spread = queue.and_then(|key| Some(state.queues.get(&key)?.waiting.retry_after(now)));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -7,13 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_core::{Fingerprint, Quarantine, QuarantineSettings, Time, stable_hash};
+use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Batch, Candidate, Catalog, ColdLimiter, Endpoint, Engine, FirstEventLatency, Health,
     HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
-    PlainCandidate, PlainChoice, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
-    SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work, choose_leader,
-    choose_plain_endpoint, max_event_gap, name_key,
+    PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, QueueSettings, RequestQueue,
+    Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact,
+    Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -371,18 +371,4 @@
         };
         self.queues.entry(key.clone()).or_insert_with(fresh)
     }
-
-    /// Records a strike against a request: an endpoint was lost while it ran the request.
-    /// Requests with several strikes are quarantined; losses of the same incarnation count
-    /// once.
-    pub(crate) fn strike(
-        &mut self,
-        now: Time,
-        fingerprint: Fingerprint,
-        id: &Name,
-        incarnation: u64,
-    ) {
-        let incident = stable_hash([id.as_bytes(), &incarnation.to_be_bytes()]);
-        self.quarantine.strike(now, fingerprint, incident);
-    }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,9 +17,7 @@
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
-use crate::attempt::{
-    self, AttemptError, InFlight, WaitError, WaitPolicy, record_broken, wait_for,
-};
+use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
 use crate::body::Truncated;
 use crate::call::Call;
 use crate::connection::Connection;
@@ -103,21 +101,21 @@
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let retried = progress.runs + progress.refusals > 0;
-        let endpoint = match await_leader(node, call, &progress.tried, retried).await {
+        let unbegun = progress.events == 0;
+        let placed = tokio::select! {
+            biased;
+            () = node.until_quarantined(call), if unbegun => {
+                Err(node.quarantine_refusal(call).unwrap_or(Refusal::Quarantined))
+            }
+            placed = await_leader(node, call, &progress.tried, retried) => placed,
+        };
+        let endpoint = match placed {
             Ok((endpoint, waited)) => {
                 progress.waited += waited;
                 endpoint
             }
             Err(reason) => return Err(if retried { refusal } else { reason }),
         };
-        // A stream that has begun isn't what crashes endpoints, and goes on elsewhere.
-        if progress.events == 0 && node.is_quarantined(call) {
-            return Err(if retried {
-                refusal
-            } else {
-                Refusal::Quarantined
-            });
-        }
         if retried {
             let now = node.now();
             let mut state = node.state.borrow_mut();
@@ -126,7 +124,13 @@
             }
         }
         progress.tried.push(endpoint.id.clone());
-        let failed = match try_leader(node, call, progress, endpoint).await {
+        // Dropping the attempt closes its connection, which may save the endpoint.
+        let tried = tokio::select! {
+            biased;
+            () = node.until_quarantined(call), if unbegun => return Err(Refusal::AnswerLost),
+            tried = try_leader(node, call, progress, endpoint) => tried,
+        };
+        let failed = match tried {
             Ok(started) => return Ok(started),
             Err(failed) => failed,
         };
@@ -206,7 +210,7 @@
         let read = wait_for(node, endpoint, call.deadline, wait_policy, body.collect()).await;
         let Ok(Ok(body)) = read else {
             if let Ok(Err(_)) = read {
-                record_broken(node, call, endpoint, in_flight.phase());
+                node.record_broken(call, endpoint, in_flight.phase());
             }
             return Err(AttemptError::MayHaveRun(RetryCause::Broken));
         };
@@ -244,8 +248,15 @@
 }
 
 /// Records the time from sending a call to its first event, from which the queue
-/// estimates whether requests can meet their objective.
+/// estimates whether requests can meet their objective, and that no part of its prompt
+/// crashes endpoints.
 fn record_first_event(node: &Node, call: &Call, took: Duration) {
+    let now = node.now();
+    node.state
+        .borrow_mut()
+        .quarantine
+        .on_begun(now, &call.parts);
+    node.report_verdicts();
     if let Some(model) = &call.model {
         let key = (call.service.clone(), model.clone());
         let mut state = node.state.borrow_mut();
@@ -265,7 +276,7 @@
     match failed {
         AttemptError::MayHaveRun(RetryCause::Broken) => {
             node.on_disconnect(&endpoint.id, endpoint.incarnation, "streams broke");
-            record_broken(node, call, endpoint, in_flight.phase());
+            node.record_broken(call, endpoint, in_flight.phase());
         }
         AttemptError::MayHaveRun(RetryCause::Silent) => {
             node.suspect(&endpoint.id, endpoint.incarnation, "stream stalled");
@@ -364,11 +375,10 @@
                     connection,
                     ..
                 } = *running;
-                node.pool.put(node.now(), &in_flight.endpoint, connection);
-                node.state
-                    .borrow_mut()
-                    .quarantine
-                    .on_finished(call.fingerprint, true);
+                let now = node.now();
+                node.pool.put(now, &in_flight.endpoint, connection);
+                let mut state = node.state.borrow_mut();
+                state.quarantine.on_answered(now, call.fingerprint);
                 break "whole";
             }
             Err(failed) => report_failure(node, call, &running.in_flight, failed),
--- a/crates/entry/tests/unit/peer_messages.rs
+++ b/crates/entry/tests/unit/peer_messages.rs
@@ -1,10 +1,13 @@
 //! Tests of the messages between entries: what is written is read, and nothing else is.
 
+use std::time::Duration;
+
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope, Sender, SlowLeader,
-    Suspicion,
+    Aged, Answer, CrashReport, Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope,
+    Sender, SlowLeader, Subject, Suspicion,
 };
+use smallvec::smallvec;
 
 use super::{PeerMessage, decode, encode_digest, encode_report};
 use crate::peers::MAX_DATAGRAM_BYTES;
@@ -32,7 +35,25 @@
             key: 3,
             slowdown: 2.5,
         }],
-        strikes: vec![(Fingerprint::from(9), 8)],
+        crashes: (0..32)
+            .map(|run| Aged {
+                item: CrashReport {
+                    run: u64::MAX - run,
+                    request: Fingerprint::from(9),
+                    parts: smallvec![Fingerprint::from(u64::MAX), Fingerprint::from(7)],
+                },
+                age: Duration::from_millis(599_999),
+            })
+            .collect(),
+        answers: [Subject::Request, Subject::Part]
+            .map(|subject| Aged {
+                item: Answer {
+                    subject,
+                    key: Fingerprint::from(9),
+                },
+                age: Duration::from_millis(40),
+            })
+            .to_vec(),
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod plain;
 mod plan;
 mod planner;
+mod quarantine;
 mod queue;
 mod retry_budget;
 mod roster;
@@ -41,6 +42,10 @@
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
 pub use plan::{GroupPlan, MemberPlan, Plan};
 pub use planner::{LoadLimits, Planner, PlannerAction, PlannerSettings, VmView, vm_views};
+pub use quarantine::{
+    Aged, Answer, CrashReport, Quarantine, QuarantineSettings, Quarantined, SharedParts, Subject,
+    Verdict,
+};
 pub use queue::{MIN_RETRY_AFTER, QueueSettings, QueuedRequest, RequestQueue};
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -1,13 +1,12 @@
 //! The messages between entries.
 
-use bulrushhoist_core::Fingerprint;
-
 use super::loads::EndpointLoad;
 use crate::Name;
+use crate::quarantine::{Aged, Answer, CrashReport};
 
 /// Maximum number of loads in one message; the endpoints with the most requests are kept.
 const MAX_LOADS: usize = 1_000;
-/// Maximum number of suspicions, of slow leaders and of strikes in one message.
+/// Maximum number of suspicions, of slow leaders, of crashes and of answers in one message.
 const MAX_OBSERVATIONS: usize = 32;
 
 /// Which run of an entry's process sent a message, and its number within the run.
@@ -105,9 +104,10 @@
     pub suspects: Vec<Suspicion>,
     /// Slow leaders. Only the entry that plans, and so probes members, observes them.
     pub slow: Vec<SlowLeader>,
-    /// Requests that were running at endpoints when these were lost, each with a hash that
-    /// identifies the lost incarnation.
-    pub strikes: Vec<(Fingerprint, u64)>,
+    /// Endpoint runs that were lost under requests.
+    pub crashes: Vec<Aged<CrashReport>>,
+    /// Answers that acquit suspected requests and parts of prompts.
+    pub answers: Vec<Aged<Answer>>,
 }
 
 impl News {
@@ -121,7 +121,8 @@
         }
         self.suspects.truncate(MAX_OBSERVATIONS);
         self.slow.truncate(MAX_OBSERVATIONS);
-        self.strikes.truncate(MAX_OBSERVATIONS);
+        self.crashes.truncate(MAX_OBSERVATIONS);
+        self.answers.truncate(MAX_OBSERVATIONS);
     }
 }
 
