--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -1,6 +1,5 @@
 //! Verdicts from the observations.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -87,13 +86,19 @@
 }
 
 /// Maximum number of distinct runs and requests that are counted. It exceeds every threshold.
-const MAX_COUNTED: usize = 8;
+const MAX_COUNTED: usize = 64;
+
+/// Maximum number of parts that are judged at a time.
+const MAX_JUDGED: usize = 32;
+/// Number of crashes by which a part on which answers were written before is less likely to
+/// be the cause than one without.
+const PROVEN_DISCOUNT: isize = 2;
 
 /// What counts against a part.
 #[derive(Default)]
 struct Evidence {
-    runs: SmallVec<[u64; MAX_COUNTED]>,
-    requests: SmallVec<[Fingerprint; MAX_COUNTED]>,
+    runs: SmallVec<[u64; 8]>,
+    requests: SmallVec<[Fingerprint; 8]>,
     /// Position in the prompt, counted from its start.
     position: usize,
     newest: Option<Moment>,
@@ -116,6 +121,15 @@
     fn strikes(&self) -> usize {
         self.runs.len().min(self.requests.len())
     }
+
+    /// Returns how likely the part is the cause, to be compared with other parts. Of parts
+    /// in the same crashes the later one in the prompt is more specific: a beginning is also
+    /// in requests that merely ran beside a crash.
+    fn weight(&self, proven: bool) -> (isize, usize) {
+        let discount = if proven { PROVEN_DISCOUNT } else { 0 };
+        let runs = self.runs.len() + self.position;
+        (runs as isize - discount, self.position)
+    }
 }
 
 impl Quarantine {
@@ -179,12 +193,11 @@
     /// Decides which parts are refused.
     ///
     /// Each crash has one cause, but every part of the requests that ran has a strike. So
-    /// the most likely part is refused first, and the crashes that it explains don't count
-    /// against the others. A part on which answers were written before is less likely than
-    /// one without; of parts in the same crashes the later one in the prompt is more
-    /// specific, since beginnings are shared by more requests.
+    /// the likeliest part is judged first, and the crashes that it explains don't count
+    /// against the others, even if there is too little evidence to refuse it.
     pub(super) fn judge_parts(&mut self, now: Time) {
         let mut refused: HashMap<Fingerprint, Refused> = HashMap::new();
+        let mut judged: Vec<Fingerprint> = Vec::new();
         let mut explained: Vec<u64> = Vec::new();
         self.suspect_parts.clear();
         for kept in &self.reports {
@@ -193,11 +206,22 @@
                 *newest = kept.at.max(*newest);
             }
         }
-        while let Some((part, found)) = self.likeliest_part(now, &refused, &explained) {
-            let caused = self.reports.iter().map(|k| &k.report);
-            let caused = caused.filter(|r| r.parts.contains(&part)).map(|r| r.run);
-            explained.extend(caused);
-            refused.insert(part, found);
+        while judged.len() < MAX_JUDGED {
+            let Some((part, evidence)) = self.likeliest_part(now, &judged, &explained) else {
+                break;
+            };
+            judged.push(part);
+            explained.extend(&evidence.runs);
+            let answered = self.answered_parts.get(part);
+            let threshold = match answered {
+                Some(_) => self.settings.proven_part_strikes,
+                None => self.settings.part_strikes,
+            };
+            let (strikes, newest) = (evidence.strikes(), evidence.newest);
+            if let Some(newest) = newest.filter(|_| strikes >= threshold) {
+                let until = newest.after(self.strike_ttl(answered));
+                refused.insert(part, Refused { strikes, until });
+            }
         }
         let before = std::mem::replace(&mut self.refused_parts, refused);
         let ended = before.iter().map(|(key, r)| (key, r, false));
@@ -214,14 +238,14 @@
             }));
     }
 
-    /// Returns the part that most likely caused the crashes which aren't explained yet, if
-    /// there is enough evidence against any.
+    /// Returns the part that most likely caused the crashes which aren't explained yet,
+    /// without those in `judged`, and what counts against it.
     fn likeliest_part(
         &self,
         now: Time,
-        refused: &HashMap<Fingerprint, Refused>,
+        judged: &[Fingerprint],
         explained: &[u64],
-    ) -> Option<(Fingerprint, Refused)> {
+    ) -> Option<(Fingerprint, Evidence)> {
         let mut all: HashMap<Fingerprint, Evidence> = HashMap::new();
         for kept in &self.reports {
             if explained.contains(&kept.report.run) {
@@ -236,22 +260,12 @@
                 }
             }
         }
-        let is_proven = |part: &Fingerprint| self.answered_parts.get(*part).is_some();
-        let threshold = |part: &Fingerprint| match is_proven(part) {
-            true => self.settings.proven_part_strikes,
-            false => self.settings.part_strikes,
-        };
-        let enough = all
-            .iter()
-            .filter(|(part, e)| e.strikes() >= threshold(part) && !refused.contains_key(part));
-        let (part, evidence) = enough
-            .max_by_key(|(part, e)| (Reverse(is_proven(part)), e.strikes(), e.position, **part))?;
-        let ttl = self.strike_ttl(self.answered_parts.get(*part));
-        let newest = evidence.newest?;
-        let found = Refused {
-            strikes: evidence.strikes(),
-            until: newest.after(ttl),
-        };
-        Some((*part, found))
+        let suspected =
+            |part: &Fingerprint, e: &Evidence| e.runs.len() > 1 && !judged.contains(part);
+        let candidates = all.into_iter().filter(|(part, e)| suspected(part, e));
+        candidates.max_by_key(|(part, e)| {
+            let proven = self.answered_parts.get(*part).is_some();
+            (e.weight(proven), *part)
+        })
     }
 }
