Take a refusal for that of a request only if it has the request's id

Cause: the header that says "not run", and status 421, were believed before the id in the answer was compared. An endpoint that wrote an earlier refusal once more on a kept connection refused the next request with it. Change: an answer without the request's id says nothing about the request; its connection is dropped, a line and a counter tell of it, and a call that may not be repeated gets 502. Refusals of a request without an id need none.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use slog::warn;
 
 use crate::call::Call;
 use crate::connection::{Connection, ConnectionError};
@@ -255,8 +256,9 @@
 
 /// Checks that a response belongs to the request and that the endpoint ran the request.
 ///
-/// A response without the request's id or the endpoint's stamp may come from something
-/// else at the endpoint's address.
+/// A response without the request's id may be an earlier one that came once more on a kept
+/// connection; it says nothing about this request, not even that it hasn't run. One without
+/// the endpoint's stamp may come from something else at the endpoint's address.
 fn check_response(
     node: &Node,
     call: &Call,
@@ -265,8 +267,20 @@
 ) -> Result<(), AttemptError> {
     let names = node.dialect.headers();
     let headers = response.headers();
-    if headers.contains_key(&names.not_run) || response.status() == StatusCode::MISDIRECTED_REQUEST
-    {
+    let refused = headers.contains_key(&names.not_run)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let echoed = match headers.get(&names.request_id) {
+        Some(id) => *id == call.id,
+        // A request without an id is refused without one.
+        None => refused && call.id.is_empty(),
+    };
+    if !echoed {
+        let id = headers.get(&names.request_id).and_then(|v| v.to_str().ok());
+        warn!(node.log, "answer to another request"; "request" => call.id_text(), "answered" => id, "status" => response.status().as_u16(), "endpoint" => &*endpoint.id);
+        node.metrics.on_foreign_answer();
+        return Err(AttemptError::MayHaveRun(RetryCause::Broken));
+    }
+    if refused {
         let cause = match response.status() {
             StatusCode::MISDIRECTED_REQUEST => RetryCause::Misdirected,
             _ => RetryCause::Refused,
@@ -277,10 +291,9 @@
         }
         return Err(AttemptError::NotRun(cause));
     }
-    let echoed = headers.get(&names.request_id) == Some(&call.id);
     let stamped = headers.contains_key(&names.stamp);
     let encoded = headers.contains_key(CONTENT_ENCODING);
-    if !echoed || encoded || (response.status().is_success() && !stamped) {
+    if encoded || (response.status().is_success() && !stamped) {
         return Err(AttemptError::MayHaveRun(RetryCause::Broken));
     }
     Ok(())
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -36,6 +36,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     broken_attempts: Counter<u64>,
+    foreign_answers: Counter<u64>,
     orders: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
@@ -80,6 +81,10 @@
                 "bulrushhoist_broken_attempts",
                 "Attempts whose connection broke after the request was sent, by kind of call and whether the request got a strike",
             ),
+            foreign_answers: counter(
+                "bulrushhoist_foreign_answers",
+                "Answers of endpoints without the id of the request",
+            ),
             orders: counter(
                 "bulrushhoist_orders",
                 "Orders to endpoints by kind and answer",
@@ -144,6 +149,10 @@
         self.broken_attempts.add(1, &labels);
     }
 
+    pub(crate) fn on_foreign_answer(&self) {
+        self.foreign_answers.add(1, &[]);
+    }
+
     pub(crate) fn on_order(&self, kind: &'static str, answer: &str) {
         let labels = [
             KeyValue::new("kind", kind),
