Take a stream without events and without a length for a broken one

What callers saw (operators' reports): a stream that ended as if it were complete after it had broken and an endpoint took it over (ORDER), or a 200 with an empty, whole body (MIXED). Cause: an answer may end with its connection; if that closes after the head, no event is missing as far as framing tells, and the entry took it for a complete, empty stream. Evidence: in the tests a caller got 3 of 12 events and a proper end, and an empty 200. Change: a stream without events is complete only if its head has a length or chunks; else it is retried or cut like any broken one. The other forms that the reports name (an error's text in the stream, half a head) were ruled out by tests before.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use slog::info;
 use smallvec::SmallVec;
@@ -235,6 +236,11 @@
             });
             Ok(StreamStart::Events(parts, events, running))
         }
+        // Without a length the end of the connection says nothing: the endpoint may have died.
+        Ok(None) if !is_framed(&parts.headers) => {
+            let failed = AttemptError::MayHaveRun(RetryCause::Broken);
+            Err(report_failure(node, call, &in_flight, failed))
+        }
         Ok(None) => {
             node.pool.put(node.now(), &in_flight.endpoint, connection);
             Ok(StreamStart::Complete(
@@ -247,6 +253,11 @@
     }
 }
 
+/// Returns whether an answer says where its body ends.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Records the time from sending a call to its first event, from which the queue
 /// estimates whether requests can meet their objective, and that no part of its prompt
 /// crashes endpoints.
