Send nothing more to an endpoint that says in an answer that it leaves

Cause: only an endpoint's record said that it leaves, and that may come late, or never while the store is out. Change: the header is read in every answer to a request, refusals and answers to other requests included. The roster remembers the newest incarnation that leaves, so that no record brings it back; a later one starts anew. Its phase is draining, which every choice of an endpoint and the planner obey. A request that was chosen before is checked again before it is sent. Idle connections are closed. Answers to probes and orders are not read for the header yet.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -151,6 +151,10 @@
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
         let mut connection =
             connection.map_err(|e| on_connection_error(node, call, endpoint, &e))?;
+        // The endpoint may have said while the connection was opened that it leaves.
+        if !node.may_send(endpoint) {
+            return Err(AttemptError::NotRun(RetryCause::Unsent));
+        }
         let request = build_request(node, call, endpoint, deadline, last_event);
         node.on_call_bytes(endpoint, call.body.len());
         let sent = wait_for(
@@ -181,6 +185,7 @@
             Ok(Ok(response)) => response,
         };
         apply_keep_alive(node, &mut connection, response.headers());
+        node.read_notices(endpoint, response.headers());
         check_response(node, call, endpoint, &response)?;
         return Ok(OpenResponse {
             connection,
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -37,6 +37,8 @@
     pub priority: HeaderName,
     /// Present if the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Present with the value 1 in all answers of an endpoint that leaves.
+    pub leaving: HeaderName,
     /// Stamp by which an endpoint shows that it made the answer.
     pub stamp: HeaderName,
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod net;
 mod node;
+mod notices;
 mod outcome;
 mod peer_messages;
 mod peers;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -37,6 +37,7 @@
     retries: Counter<u64>,
     broken_attempts: Counter<u64>,
     foreign_answers: Counter<u64>,
+    notices: Counter<u64>,
     orders: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
@@ -85,6 +86,10 @@
                 "bulrushhoist_foreign_answers",
                 "Answers of endpoints without the id of the request",
             ),
+            notices: counter(
+                "bulrushhoist_notices",
+                "Notices of endpoints about themselves, by what they say",
+            ),
             orders: counter(
                 "bulrushhoist_orders",
                 "Orders to endpoints by kind and answer",
@@ -153,6 +158,10 @@
         self.foreign_answers.add(1, &[]);
     }
 
+    pub(crate) fn on_notice(&self, notice: &'static str) {
+        self.notices.add(1, &[KeyValue::new("notice", notice)]);
+    }
+
     pub(crate) fn on_order(&self, kind: &'static str, answer: &str) {
         let labels = [
             KeyValue::new("kind", kind),
--- a/crates/entry/src/peer_messages.rs
+++ b/crates/entry/src/peer_messages.rs
@@ -8,15 +8,15 @@
 
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Aged, Answer, CrashReport, Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope,
-    Sender, SlowLeader, Subject, Suspicion,
+    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus, News,
+    Report, Scope, Sender, SlowLeader, Subject, Suspicion,
 };
 
 use crate::call::MAX_SHARED_PARTS;
 
-/// A [`Suspicion`] on the wire.
+/// A [`Suspicion`] or [`Departure`] on the wire.
 #[derive(Clone, PartialEq, prost::Message)]
-struct SuspicionMessage {
+struct IncarnationMessage {
     #[prost(string, tag = "1")]
     endpoint: String,
     #[prost(uint64, tag = "2")]
@@ -34,7 +34,7 @@
     #[prost(uint32, repeated, tag = "3")]
     load_tokens: Vec<u32>,
     #[prost(message, repeated, tag = "4")]
-    suspects: Vec<SuspicionMessage>,
+    suspects: Vec<IncarnationMessage>,
     #[prost(fixed32, repeated, tag = "5")]
     slow_keys: Vec<u32>,
     /// The slowdowns in percent, in the order of the keys.
@@ -45,6 +45,8 @@
     crashes: Vec<CrashMessage>,
     #[prost(message, repeated, tag = "10")]
     answers: Vec<AnswerMessage>,
+    #[prost(message, repeated, tag = "11")]
+    departures: Vec<IncarnationMessage>,
 }
 
 /// A [`CrashReport`] on the wire.
@@ -242,10 +244,14 @@
 
 impl From<&News> for NewsMessage {
     fn from(news: &News) -> Self {
-        let suspects = news.suspects.iter().map(|s| SuspicionMessage {
+        let suspects = news.suspects.iter().map(|s| IncarnationMessage {
             endpoint: s.endpoint.to_string(),
             incarnation: s.incarnation,
         });
+        let departures = news.departures.iter().map(|d| IncarnationMessage {
+            endpoint: d.endpoint.to_string(),
+            incarnation: d.incarnation,
+        });
         let percent = |s: &SlowLeader| (s.slowdown * 100.0) as u32;
         Self {
             load_keys: news.loads.iter().map(|l| l.key).collect(),
@@ -256,6 +262,7 @@
             slow_percent: news.slow.iter().map(percent).collect(),
             crashes: news.crashes.iter().map(CrashMessage::from).collect(),
             answers: news.answers.iter().map(AnswerMessage::from).collect(),
+            departures: departures.collect(),
         }
     }
 }
@@ -287,6 +294,7 @@
                 .collect(),
             crashes: self.crashes.into_iter().map(Aged::from).collect(),
             answers: self.answers.into_iter().map(Aged::from).collect(),
+            departures: self.departures.into_iter().map(Departure::from).collect(),
         };
         news.limit();
         Some(news)
@@ -344,8 +352,17 @@
     }
 }
 
-impl From<SuspicionMessage> for Suspicion {
-    fn from(message: SuspicionMessage) -> Self {
+impl From<IncarnationMessage> for Departure {
+    fn from(message: IncarnationMessage) -> Self {
+        Self {
+            endpoint: message.endpoint.into(),
+            incarnation: message.incarnation,
+        }
+    }
+}
+
+impl From<IncarnationMessage> for Suspicion {
+    fn from(message: IncarnationMessage) -> Self {
         Self {
             endpoint: message.endpoint.into(),
             incarnation: message.incarnation,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -139,6 +139,7 @@
         slow,
         crashes,
         answers,
+        departures: node.recent_departures(),
     };
     news.limit();
     OwnNews { status, news }
@@ -191,6 +192,7 @@
         PeerMessage::Report(report) => &report.news,
         PeerMessage::Digest(digest) => &digest.news,
     };
+    let departures = news.departures.clone();
     state.traffic_seen |= !news.loads.is_empty();
     for suspicion in &news.suspects {
         let known = state.roster.get(&suspicion.endpoint);
@@ -208,6 +210,9 @@
     };
     drop(borrowed);
     node.report_verdicts();
+    for departure in &departures {
+        node.on_departure(departure);
+    }
     if newly_suspected {
         node.planner_wake.notify_one();
     }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -140,7 +140,7 @@
         AttemptError::MayHaveRun(RetryCause::Broken)
     })?;
     node.on_call_bytes(endpoint, body.len());
-    node.pool.put(node.now(), endpoint, opened.connection);
+    node.keep_connection(endpoint, opened.connection);
     Ok(PlainAnswer {
         parts,
         body,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,7 +9,7 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Batch, Candidate, Catalog, ColdLimiter, Endpoint, Engine, FirstEventLatency, Health,
+    Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine, FirstEventLatency, Health,
     HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
     PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, QueueSettings, RequestQueue,
     Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact,
@@ -94,6 +94,8 @@
     pub(crate) quarantine: Quarantine,
     /// Incarnation and time of the last failure that this entry saw, by endpoint.
     pub(crate) suspicions: HashMap<Name, (u64, Time)>,
+    /// Endpoints that have said that they leave, and when this entry heard of it.
+    pub(crate) departures: Vec<(Departure, Time)>,
     pub(crate) contact: StoreContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
@@ -121,6 +123,7 @@
             budgets: HashMap::new(),
             quarantine: Quarantine::new(QuarantineSettings::default()),
             suspicions: HashMap::new(),
+            departures: Vec::new(),
             contact: StoreContact::default(),
             traffic_seen: false,
             planning: false,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -242,7 +242,7 @@
             Err(report_failure(node, call, &in_flight, failed))
         }
         Ok(None) => {
-            node.pool.put(node.now(), &in_flight.endpoint, connection);
+            node.keep_connection(&in_flight.endpoint, connection);
             Ok(StreamStart::Complete(
                 parts,
                 Bytes::new(),
@@ -387,7 +387,7 @@
                     ..
                 } = *running;
                 let now = node.now();
-                node.pool.put(now, &in_flight.endpoint, connection);
+                node.keep_connection(&in_flight.endpoint, connection);
                 let mut state = node.state.borrow_mut();
                 state.quarantine.on_answered(now, call.fingerprint);
                 break "whole";
--- a/crates/entry/tests/unit/peer_messages.rs
+++ b/crates/entry/tests/unit/peer_messages.rs
@@ -4,8 +4,8 @@
 
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Aged, Answer, CrashReport, Digest, DigestRate, EndpointLoad, EntryStatus, News, Report, Scope,
-    Sender, SlowLeader, Subject, Suspicion,
+    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus, News,
+    Report, Scope, Sender, SlowLeader, Subject, Suspicion,
 };
 use smallvec::smallvec;
 
@@ -54,6 +54,10 @@
                 age: Duration::from_millis(40),
             })
             .to_vec(),
+        departures: vec![Departure {
+            endpoint: "i-02d9e6b4".into(),
+            incarnation: 1_764_860_000_001,
+        }],
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,9 +34,9 @@
     SlotLimit, assumed_cold_time, choose_leader,
 };
 pub use membership::{
-    Digest, DigestRate, EndpointLoad, EntryInfo, EntryStatus, Membership, MembershipSettings, News,
-    Outgoing, OwnNews, Recipient, RelayChoice, Report, Role, Scope, Sender, SlowLeader, Suspicion,
-    entries_hash,
+    Departure, Digest, DigestRate, EndpointLoad, EntryInfo, EntryStatus, Membership,
+    MembershipSettings, News, Outgoing, OwnNews, Recipient, RelayChoice, Report, Role, Scope,
+    Sender, SlowLeader, Suspicion, entries_hash,
 };
 pub use orders::{Order, OrderAnswer, OrderKind};
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -30,7 +30,9 @@
 use crate::leader_choice::{COLD_HOLDERS, ColdShare};
 pub use loads::EndpointLoad;
 use loads::LoadSums;
-pub use messages::{Digest, DigestRate, EntryStatus, News, Report, Scope, Sender, SlowLeader};
+pub use messages::{
+    Departure, Digest, DigestRate, EntryStatus, News, Report, Scope, Sender, SlowLeader,
+};
 pub use messages::{Suspicion, entries_hash};
 pub use registry::EntryInfo;
 use registry::Registry;
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -6,7 +6,8 @@
 
 /// Maximum number of loads in one message; the endpoints with the most requests are kept.
 const MAX_LOADS: usize = 1_000;
-/// Maximum number of suspicions, of slow leaders, of crashes and of answers in one message.
+/// Maximum number of suspicions, of slow leaders, of crashes, of answers and of
+/// departures in one message.
 const MAX_OBSERVATIONS: usize = 32;
 
 /// Which run of an entry's process sent a message, and its number within the run.
@@ -86,6 +87,15 @@
     pub incarnation: u64,
 }
 
+/// An incarnation of an endpoint that has said that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Name of the endpoint.
+    pub endpoint: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
 /// A leader whose group is slower than published.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlowLeader {
@@ -108,6 +118,8 @@
     pub crashes: Vec<Aged<CrashReport>>,
     /// Answers that acquit suspected requests and parts of prompts.
     pub answers: Vec<Aged<Answer>>,
+    /// Endpoints that have said that they leave.
+    pub departures: Vec<Departure>,
 }
 
 impl News {
@@ -123,6 +135,7 @@
         self.slow.truncate(MAX_OBSERVATIONS);
         self.crashes.truncate(MAX_OBSERVATIONS);
         self.answers.truncate(MAX_OBSERVATIONS);
+        self.departures.truncate(MAX_OBSERVATIONS);
     }
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -19,6 +19,9 @@
 /// Time for which an endpoint without a record may go on as a member of its group.
 const UNLISTED_TTL: Duration = Duration::from_secs(30);
 
+/// Number of leaving endpoints from which on those without a record are forgotten.
+const MAX_LEAVING: usize = 1_024;
+
 /// What a new record changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
@@ -114,6 +117,8 @@
     /// store goes on as a member of its group.
     unlisted: HashMap<Name, (Endpoint, Time)>,
     evacuated: BTreeSet<Name>,
+    /// Newest incarnation of each endpoint that has said that it leaves.
+    leaving: HashMap<Name, u64>,
     index: Index,
     store_lost: bool,
     /// When the store last answered again after an outage or after the start.
@@ -122,7 +127,10 @@
 
 impl Roster {
     /// Adds or replaces an endpoint's record.
-    pub fn put(&mut self, endpoint: Endpoint) -> RosterChange {
+    pub fn put(&mut self, mut endpoint: Endpoint) -> RosterChange {
+        if self.is_leaving(&endpoint.id, endpoint.incarnation) {
+            endpoint.phase = EndpointPhase::Draining;
+        }
         self.removals.remove(&endpoint.id);
         self.unlisted.remove(&endpoint.id);
         if let Some(old) = self.endpoints.get(&endpoint.id) {
@@ -143,6 +151,31 @@
         }
     }
 
+    /// Records that an incarnation of an endpoint has said that it leaves. Its records can't
+    /// bring it back, because they may be older; a later incarnation starts anew. Returns
+    /// whether it wasn't known.
+    pub fn set_leaving(&mut self, id: &Name, incarnation: u64) -> bool {
+        if self.is_leaving(id, incarnation) {
+            return false;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.retain(|id, _| self.endpoints.contains_key(id));
+        }
+        self.leaving.insert(id.clone(), incarnation);
+        if let Some(endpoint) = self.endpoints.get_mut(id)
+            && endpoint.incarnation <= incarnation
+        {
+            endpoint.phase = EndpointPhase::Draining;
+        }
+        true
+    }
+
+    /// Returns whether an incarnation of an endpoint has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
+        self.leaving.get(id).is_some_and(|i| incarnation <= *i)
+    }
+
     /// Returns whether a leader's group has members in several fabric domains.
     #[must_use]
     pub fn spans_domains(&self, leader: &Endpoint) -> bool {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use bulrushhoist_fleet::{GroupState, Roster, RosterChange};
+use bulrushhoist_fleet::{Endpoint, GroupState, Name, Roster, RosterChange};
 use support::{endpoint, member, ms};
 
 fn roster() -> Roster {
@@ -77,3 +77,34 @@
     roster.put(moved);
     assert!(!roster.spans_domains(&leader));
 }
+
+/// Guards against a stale record that brings a leaving endpoint back, and against a new
+/// incarnation at the same name that gets nothing.
+#[test]
+fn a_late_record_brings_a_leaving_endpoint_back() {
+    let mut roster = Roster::default();
+    let record = |incarnation| Endpoint {
+        incarnation,
+        ..endpoint("vm-1", "d1")
+    };
+    roster.put(record(5));
+    let id: Name = "vm-1".into();
+    assert!(roster.set_leaving(&id, 5), "it is news");
+    assert!(!roster.set_leaving(&id, 5), "it is news once");
+    let accepts = |roster: &Roster| roster.get("vm-1").is_some_and(|e| roster.accepts_work(e));
+    assert!(!accepts(&roster));
+    roster.put(record(5));
+    assert!(!accepts(&roster), "the record is older than the notice");
+    roster.on_store_back(ms(1));
+    roster.remove(ms(10_000), "vm-1");
+    roster.put(record(5));
+    assert!(!accepts(&roster), "removed and written again");
+    roster.put(record(6));
+    assert!(accepts(&roster), "the next incarnation starts anew");
+    roster.put(record(5));
+    assert!(!accepts(&roster), "a record of the one before");
+    assert!(
+        !roster.set_leaving(&id, 4),
+        "a late notice of an earlier one"
+    );
+}
