Send nothing to an endpoint during a pause that it asked for

Cause: the header was not read, so a refused endpoint got the next request at once, and callers were told to come back after a time that had nothing to do with it. Change: a pause holds between this entry and the incarnation, for an hour at most; the choice of an endpoint leaves it out and a request chosen before is checked again before it is sent. It is no failure. After a pause the endpoint counts as cold for two seconds. Values that can't be used are counted. A property test of random series against a reference, a test of unusable values.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -151,7 +151,8 @@
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
         let mut connection =
             connection.map_err(|e| on_connection_error(node, call, endpoint, &e))?;
-        // The endpoint may have said while the connection was opened that it leaves.
+        // While the connection was opened, the endpoint may have said that it leaves or
+        // pauses.
         if !node.may_send(endpoint) {
             return Err(AttemptError::NotRun(RetryCause::Unsent));
         }
@@ -290,6 +291,9 @@
             StatusCode::MISDIRECTED_REQUEST => RetryCause::Misdirected,
             _ => RetryCause::Refused,
         };
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            node.read_pause(endpoint, headers);
+        }
         if cause == RetryCause::Misdirected {
             node.pool.drop_endpoint(&endpoint.id);
             node.suspect(&endpoint.id, endpoint.incarnation, "misdirected");
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -46,6 +46,7 @@
     first_part: Histogram<f64>,
     waited: Histogram<f64>,
     quarantined: Gauge<u64>,
+    paused: Gauge<u64>,
     version: Gauge<u64>,
 }
 
@@ -119,6 +120,10 @@
                 .u64_gauge("bulrushhoist_quarantined")
                 .with_description("Requests and parts of prompts that are refused")
                 .build(),
+            paused: meter
+                .u64_gauge("bulrushhoist_paused_endpoints")
+                .with_description("Endpoints that asked this entry for a pause")
+                .build(),
             version: meter
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
@@ -197,6 +202,10 @@
         self.quarantined.record(count as u64, &[subject]);
     }
 
+    pub(crate) fn set_paused(&self, count: usize) {
+        self.paused.record(count as u64, &[]);
+    }
+
     pub(crate) fn set_version(&self, version: u64) {
         self.version.record(version, &[]);
     }
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::{Departure, Endpoint};
-use hyper::header::HeaderMap;
-use slog::info;
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{Departure, Endpoint, MAX_PAUSE, Name};
+use hyper::header::{HeaderMap, RETRY_AFTER};
+use slog::{info, warn};
 
 use crate::connection::Connection;
 use crate::node::Node;
@@ -15,6 +16,32 @@
 /// arrives though some are lost.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(2);
 
+/// Minimum time between two log lines about pauses that aren't usable.
+const BAD_PAUSE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The error of a pause that isn't a number of seconds, is negative, or is given twice with
+/// different values.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct UnusablePause;
+
+/// Returns the pause that an answer asks for, [`MAX_PAUSE`] at most.
+fn parse_pause(headers: &HeaderMap) -> Result<Option<Duration>, UnusablePause> {
+    let mut values = headers.get_all(RETRY_AFTER).iter();
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|v| v != first) {
+        return Err(UnusablePause);
+    }
+    let seconds = first.to_str().ok().and_then(|v| v.trim().parse().ok());
+    let seconds: f64 = seconds.ok_or(UnusablePause)?;
+    if seconds.is_nan() || seconds < 0.0 {
+        return Err(UnusablePause);
+    }
+    let seconds = seconds.min(MAX_PAUSE.as_secs_f64());
+    Ok(Some(Duration::from_secs_f64(seconds)))
+}
+
 impl Node {
     /// Reads what an endpoint says of itself in an answer to whichever request: the
     /// connection leads to this incarnation.
@@ -28,6 +55,53 @@
         }
     }
 
+    /// Reads the pause that an endpoint asks for as it refuses a request.
+    pub(crate) fn read_pause(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+        let now = self.now();
+        let time = match parse_pause(headers) {
+            Ok(Some(time)) => time,
+            Ok(None) => return,
+            Err(UnusablePause) => {
+                self.metrics.on_notice("unusable_pause");
+                if self.may_log_pause(now) {
+                    warn!(self.log, "pause not usable"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation);
+                }
+                return;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        if !state.pause(now, endpoint, time) {
+            return;
+        }
+        drop(state);
+        self.metrics.on_notice("pause");
+        info!(self.log, "endpoint pauses"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "for_ms" => time.as_millis() as u64);
+    }
+
+    /// Returns whether a line about an unusable pause may be logged: a faulty endpoint may
+    /// send one with each answer.
+    fn may_log_pause(&self, now: Time) -> bool {
+        let last = self.bad_pause_logged.get();
+        let due = last.is_none_or(|t| now.since(t) >= BAD_PAUSE_LOG_INTERVAL);
+        if due {
+            self.bad_pause_logged.set(Some(now));
+        }
+        due
+    }
+
+    /// Returns the time after which a caller may come back that was refused because every
+    /// endpoint pauses, if any still does.
+    pub(crate) fn shortest_pause(&self, service: &Name, model: Option<&Name>) -> Option<Duration> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let leaders = model.map(|m| state.roster.leaders(service, m));
+        let plain = model.is_none().then(|| state.roster.of_service(service));
+        let all = leaders.into_iter().flatten();
+        let all = all.chain(plain.into_iter().flatten());
+        all.filter_map(|e| state.pauses.remaining(now, &e.id, e.incarnation))
+            .min()
+    }
+
     /// Takes an endpoint that leaves out of use, and tells the other entries. Its requests
     /// run on.
     pub(crate) fn on_departure(&self, departure: &Departure) {
@@ -56,14 +130,24 @@
 
     /// Returns whether a request may be sent to an endpoint that was chosen before.
     pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
+        let now = self.now();
         let state = self.state.borrow();
-        !state.roster.is_leaving(&endpoint.id, endpoint.incarnation)
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let paused = state.pauses.remaining(now, id, incarnation).is_some();
+        !paused && !state.roster.is_leaving(id, incarnation)
     }
 
     /// Keeps a connection for later requests, unless its endpoint gets none.
     pub(crate) fn keep_connection(&self, endpoint: &Endpoint, connection: Connection) {
-        if self.may_send(endpoint) {
+        let state = self.state.borrow();
+        let leaving = state.roster.is_leaving(&endpoint.id, endpoint.incarnation);
+        drop(state);
+        if !leaving {
             self.pool.put(self.now(), endpoint, connection);
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/notices.rs"]
+mod tests;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -24,6 +24,8 @@
     NoEndpoint,
     /// Every leader is full and so is the queue, or the wait would be too long.
     LineFull,
+    /// Every endpoint that could run it asked for a pause, which lasts too long for it.
+    Paused,
     /// It was in the queue for the longest time allowed.
     WaitedOut,
     /// Several endpoints were lost while they ran it.
@@ -60,6 +62,7 @@
             Self::NoConfiguration
             | Self::NoEndpoint
             | Self::LineFull
+            | Self::Paused
             | Self::WaitedOut
             | Self::Quarantined
             | Self::QuarantinedPart
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -40,8 +40,10 @@
         if now >= call.deadline {
             return failure.ok_or(Refusal::TimedOut);
         }
-        let Some(endpoint) = choose_endpoint(node, call, now, &tried) else {
-            return failure.ok_or(refusal);
+        let endpoint = match choose_endpoint(node, call, now, &tried) {
+            Ok(endpoint) => endpoint,
+            Err(reason) if tried.is_empty() => return Err(reason),
+            Err(_) => return failure.ok_or(refusal),
         };
         if sends > 0 && node.quarantined(call).is_some() {
             return failure.ok_or(refusal);
@@ -91,11 +93,21 @@
     }
 }
 
-fn choose_endpoint(node: &Node, call: &Call, now: Time, tried: &[Name]) -> Option<Endpoint> {
+fn choose_endpoint(
+    node: &Node,
+    call: &Call,
+    now: Time,
+    tried: &[Name],
+) -> Result<Endpoint, Refusal> {
     let mut state = node.state.borrow_mut();
     match state.choose_endpoint(now, &node.settings.data_centre, &call.service, tried) {
-        PlainChoice::Endpoint(id) => state.roster.get(&id).cloned(),
-        PlainChoice::Unavailable => None,
+        PlainChoice::Endpoint(id) => {
+            let endpoint = state.roster.get(&id).cloned();
+            endpoint.ok_or(Refusal::NoEndpoint)
+        }
+        // Such a call has little time; its caller knows best whether to come back.
+        PlainChoice::Paused(_) => Err(Refusal::Paused),
+        PlainChoice::Unavailable => Err(Refusal::NoEndpoint),
     }
 }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -168,11 +168,17 @@
 /// Advances the queues, closes idle connections and completes pending removals of
 /// endpoints, at a fixed interval.
 async fn sweep(node: Rc<Node>) {
+    let mut paused = 0;
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         node.advance_queues();
         let now = node.now();
         node.pool.sweep(now);
+        let count = node.state.borrow().pauses.count(now);
+        if count != paused {
+            paused = count;
+            node.metrics.set_paused(count);
+        }
         let gone = node.state.borrow_mut().roster.apply_removals(now);
         for id in gone {
             info!(node.log, "endpoint gone after the store's return"; "endpoint" => &*id);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -327,6 +327,8 @@
         let state = node.state.borrow();
         state.quarantine.check(now, c.fingerprint, &c.parts)
     });
+    let pause = context.filter(|_| refusal == Refusal::Paused);
+    let pause = pause.and_then(|c| node.shortest_pause(&c.service, c.model.as_ref()));
     if refusal == Refusal::Stopping {
         headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
     } else if let Some(quarantined) = quarantined.filter(|_| refusal.is_quarantine()) {
@@ -336,10 +338,8 @@
         let mut state = node.state.borrow_mut();
         let spread = queue.and_then(|key| Some(state.queues.get(&key)?.waiting.retry_after(now)));
         let spread = spread.unwrap_or(MIN_RETRY_AFTER).as_secs_f64();
-        let seconds = format!(
-            "{:.2}",
-            BASE_RETRY_AFTER_S + state.rng.random_range(0.0..spread)
-        );
+        let earliest = BASE_RETRY_AFTER_S + pause.unwrap_or_default().as_secs_f64();
+        let seconds = format!("{:.2}", earliest + state.rng.random_range(0.0..spread));
         drop(state);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, value);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,13 +10,13 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine, FirstEventLatency, Health,
-    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, Membership, Name,
-    PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, QueueSettings, RequestQueue,
-    Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact,
-    Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
+    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, MAX_PAUSE, Membership, Name,
+    Pauses, PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, QueueSettings,
+    RequestQueue, Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit,
+    StoreContact, Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
 };
-use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
@@ -34,6 +34,9 @@
 /// entries. Entries that are joining or restarting are not in their count yet.
 const COLD_RATE_FACTOR: f64 = 1.2;
 
+/// Time after a pause for which its endpoint is treated as cold.
+const RESUMPTION_TIME: Duration = Duration::from_secs(2);
+
 /// Whether the entry takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -96,6 +99,8 @@
     pub(crate) suspicions: HashMap<Name, (u64, Time)>,
     /// Endpoints that have said that they leave, and when this entry heard of it.
     pub(crate) departures: Vec<(Departure, Time)>,
+    /// Pauses that endpoints asked this entry for.
+    pub(crate) pauses: Pauses,
     pub(crate) contact: StoreContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
@@ -124,6 +129,7 @@
             quarantine: Quarantine::new(QuarantineSettings::default()),
             suspicions: HashMap::new(),
             departures: Vec::new(),
+            pauses: Pauses::default(),
             contact: StoreContact::default(),
             traffic_seen: false,
             planning: false,
@@ -242,7 +248,12 @@
             .filter(|e| !avoid.contains(&e.id));
         let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
+        let mut pause: Option<Duration> = None;
         for leader in usable {
+            if let Some(remaining) = self.pauses.remaining(now, &leader.id, leader.incarnation) {
+                pause = Some(pause.map_or(remaining, |p| p.min(remaining)));
+                continue;
+            }
             let candidate = Candidate {
                 id: leader.id.clone(),
                 batch: self.batch(now, &leader.id),
@@ -271,6 +282,9 @@
         } else {
             &candidates[..]
         };
+        if let (true, Some(remaining)) = (chosen.is_empty(), pause) {
+            return LeaderChoice::Paused(remaining);
+        }
         if self.is_share_used(now, engine, chosen) {
             return LeaderChoice::Full;
         }
@@ -295,7 +309,15 @@
         tried: &[Name],
     ) -> PlainChoice {
         let mut endpoints: SmallVec<[PlainCandidate; 8]> = SmallVec::new();
+        let mut pause: Option<Duration> = None;
         for endpoint in self.roster.of_service(service) {
+            let paused = self
+                .pauses
+                .remaining(now, &endpoint.id, endpoint.incarnation);
+            if let Some(remaining) = paused.filter(|_| !tried.contains(&endpoint.id)) {
+                pause = Some(pause.map_or(remaining, |p| p.min(remaining)));
+                continue;
+            }
             let health = self.health(now, endpoint);
             if health == Health::Dead {
                 continue;
@@ -309,7 +331,25 @@
                 tried: tried.contains(&endpoint.id),
             });
         }
-        choose_plain_endpoint(&endpoints, &mut self.rng)
+        match (choose_plain_endpoint(&endpoints, &mut self.rng), pause) {
+            (PlainChoice::Unavailable, Some(remaining)) => PlainChoice::Paused(remaining),
+            (choice, _) => choice,
+        }
+    }
+
+    /// Records a pause that an endpoint asked for. After it the endpoint gets its load as a
+    /// cold one does, and not all that has waited at one moment. Returns whether it is
+    /// longer than one before.
+    pub(crate) fn pause(&mut self, now: Time, endpoint: &Endpoint, time: Duration) -> bool {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let longer = self.pauses.pause(now, id, incarnation, time);
+        if longer {
+            let until = now + time.min(MAX_PAUSE) + RESUMPTION_TIME;
+            let share = self.peers.cold_share(name_key(id));
+            let limiter = self.cold.entry(id.clone()).or_default();
+            limiter.set_cold(now, until, self.rng.random(), share);
+        }
+        longer
     }
 
     /// Counts a request that is sent to an endpoint.
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -75,6 +75,11 @@
                     return found.map(|e| (e, waited)).ok_or(Refusal::NoEndpoint);
                 }
                 LeaderChoice::Unavailable => return Err(Refusal::NoEndpoint),
+                // The sweep wakes the queue when the pause has ended.
+                LeaderChoice::Paused(time) if now + time + first <= call.deadline => {
+                    join_queue(&mut state, now, &key, call)?
+                }
+                LeaderChoice::Paused(_) => return Err(Refusal::Paused),
                 LeaderChoice::Full => join_queue(&mut state, now, &key, call)?,
             }
         };
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -106,6 +106,8 @@
     Leader(Name, Duration),
     /// Every leader is full: the request is queued.
     Full,
+    /// Every leader that could be used asked for a pause; the first ends after this time.
+    Paused(Duration),
     /// No leader of the model can be used.
     Unavailable,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod leader_choice;
 mod membership;
 mod orders;
+mod pauses;
 mod plain;
 mod plan;
 mod planner;
@@ -39,6 +40,7 @@
     Sender, SlowLeader, Suspicion, entries_hash,
 };
 pub use orders::{Order, OrderAnswer, OrderKind};
+pub use pauses::{MAX_PAUSE, Pauses};
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
 pub use plan::{GroupPlan, MemberPlan, Plan};
 pub use planner::{LoadLimits, Planner, PlannerAction, PlannerSettings, VmView, vm_views};
--- a/crates/fleet/src/plain.rs
+++ b/crates/fleet/src/plain.rs
@@ -2,6 +2,8 @@
 //!
 //! A plain service has independent endpoints: no groups, models or leaders.
 
+use std::time::Duration;
+
 use rand::{Rng, RngExt as _};
 use smallvec::SmallVec;
 
@@ -29,6 +31,8 @@
 pub enum PlainChoice {
     /// To this endpoint.
     Endpoint(Name),
+    /// Every endpoint that could be used asked for a pause; the first ends after this time.
+    Paused(Duration),
     /// No endpoint can be used.
     Unavailable,
 }
