Forget that an endpoint is silent when nobody probes it any more

Cause: the entry planned, two probes of the leader timed out while its link dropped requests, and the entry lost the store and stopped planning. Only the planner probes, and a silent endpoint gets no request, so nothing could show the entry that it was back. Class: a state whose end depends on an observer that may stop. Evidence: its log has two 'endpoint not reached' lines of that leader, 'stopped planning' in the same millisecond, and no line of it after. Change: an endpoint is silent for 3.5 s after the last failed probe, several intervals of them. Test: an_endpoint_stays_silent_for_an_entry_that_no_longer_probes_it failed before.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -55,6 +55,8 @@
     suspected: Option<Time>,
     /// Failed probes and refused connections since the last answer.
     failed_probes: u32,
+    /// When the last of them failed.
+    probed: Option<Time>,
     /// Refused connections since the last answer.
     refused: u32,
     /// Factor by which it reported to be slower than published, and when it did.
@@ -67,6 +69,11 @@
 /// ended.
 const DEAD_REFUSALS: u32 = 2;
 
+/// Time after the last failed probe for which an endpoint counts as silent. It exceeds the
+/// interval of the probes several times. Only the entry that plans sends probes, so without
+/// a limit a former planner would never use the endpoint again.
+const SILENT_TTL: Duration = Duration::from_millis(3_500);
+
 /// Time for which a reported slowdown is used.
 const SLOWDOWN_TTL: Duration = Duration::from_secs(3);
 
@@ -166,6 +173,7 @@
         observations.suspected = Some(now);
         observations.refused += 1;
         observations.failed_probes += 1;
+        observations.probed = Some(now);
     }
 
     /// Records an answer that shows that this incarnation has ended, because another
@@ -181,6 +189,7 @@
         let observations = self.observations(id, incarnation);
         observations.suspected = Some(now);
         observations.failed_probes += 1;
+        observations.probed = Some(now);
     }
 
     /// Returns the health of an endpoint.
@@ -196,7 +205,9 @@
         if observations.refused >= DEAD_REFUSALS {
             return Health::Dead;
         }
-        if observations.failed_probes >= self.settings.silent_probes {
+        let probed = |t: Time| now.since(t) < SILENT_TTL;
+        let failed = observations.failed_probes >= self.settings.silent_probes;
+        if failed && observations.probed.is_some_and(probed) {
             return Health::Silent;
         }
         let recent = |t: Time| now.since(t) < self.settings.suspect_ttl;
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -201,6 +201,20 @@
     assert_eq!(monitor.health(ms(80), &id, 1), Health::Alive);
 }
 
+/// Guards against an endpoint that an entry never uses again: it found the endpoint silent
+/// while it planned, and since then another entry sends the probes.
+#[test]
+fn an_endpoint_stays_silent_for_an_entry_that_no_longer_probes_it() {
+    let mut monitor = HealthMonitor::new(HealthSettings::default());
+    let id = "vm-1".into();
+    monitor.on_probe_timeout(ms(0), &id, 1);
+    monitor.on_probe_timeout(ms(1_000), &id, 1);
+    assert_eq!(monitor.health(ms(3_000), &id, 1), Health::Silent);
+    monitor.on_probe_timeout(ms(3_000), &id, 1);
+    assert_eq!(monitor.health(ms(5_000), &id, 1), Health::Silent);
+    assert_eq!(monitor.health(ms(7_000), &id, 1), Health::Alive);
+}
+
 #[test]
 fn larger_vm_plans_before_a_smaller_one() {
     // Guards against planning on a small VM while an entry on a larger one is live.
