Read a pause from every 503 of an endpoint, and pass it on when the others pause, too

Change: any 503 with the request's id counts; the caller is told the rest of the shortest pause, as long as nothing has run.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -286,14 +286,14 @@
         node.metrics.on_foreign_answer();
         return Err(AttemptError::MayHaveRun(RetryCause::Broken));
     }
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        node.read_pause(endpoint, headers);
+    }
     if refused {
         let cause = match response.status() {
             StatusCode::MISDIRECTED_REQUEST => RetryCause::Misdirected,
             _ => RetryCause::Refused,
         };
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-            node.read_pause(endpoint, headers);
-        }
         if cause == RetryCause::Misdirected {
             node.pool.drop_endpoint(&endpoint.id);
             node.suspect(&endpoint.id, endpoint.incarnation, "misdirected");
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -48,6 +48,15 @@
         matches!(self, Self::Quarantined | Self::QuarantinedPart)
     }
 
+    /// Returns what the caller is told if no further attempt is possible for `reason`. A
+    /// pause of the other endpoints says when to come back, as long as nothing has run.
+    pub(crate) const fn without_retry(self, reason: Self) -> Self {
+        match (self, reason) {
+            (Self::EndpointRefused, Self::Paused) => Self::Paused,
+            _ => self,
+        }
+    }
+
     /// Returns the status of the answer. The statuses 421, 429 and 503 promise that the
     /// request has not run and never will.
     pub(crate) const fn status(self) -> StatusCode {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -43,7 +43,7 @@
         let endpoint = match choose_endpoint(node, call, now, &tried) {
             Ok(endpoint) => endpoint,
             Err(reason) if tried.is_empty() => return Err(reason),
-            Err(_) => return failure.ok_or(refusal),
+            Err(reason) => return failure.ok_or(refusal.without_retry(reason)),
         };
         if sends > 0 && node.quarantined(call).is_some() {
             return failure.ok_or(refusal);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -115,7 +115,8 @@
                 progress.waited += waited;
                 endpoint
             }
-            Err(reason) => return Err(if retried { refusal } else { reason }),
+            Err(reason) if retried => return Err(refusal.without_retry(reason)),
+            Err(reason) => return Err(reason),
         };
         if retried {
             let now = node.now();
