Log and measure the age, the source and the hops of an entry's copy of the store

The line of a configuration in force now names its source, age and hops; a gauge has the age of each kind, and a counter the failures of relays by cause. No logic changes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
+use crate::dialect::ObjectKind;
 use crate::outcome::{Refusal, RetryCause};
 
 /// What bytes to other entries and to endpoints are for.
@@ -41,6 +42,7 @@
     orders: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
+    relay_failures: Counter<u64>,
     bytes: Counter<u64>,
     bad_datagrams: Counter<u64>,
     first_part: Histogram<f64>,
@@ -48,6 +50,7 @@
     quarantined: Gauge<u64>,
     paused: Gauge<u64>,
     version: Gauge<u64>,
+    copy_age: Gauge<f64>,
 }
 
 /// Bucket boundaries of the latency histograms, in seconds.
@@ -100,6 +103,10 @@
                 "bulrushhoist_store_calls",
                 "Calls to the store and to relays by purpose and result",
             ),
+            relay_failures: counter(
+                "bulrushhoist_relay_failures",
+                "Fetches from relays that brought nothing, by kind of object and cause",
+            ),
             bytes: counter(
                 "bulrushhoist_bytes",
                 "Bytes to other entries, and to and from endpoints in other data centres, by cause",
@@ -128,6 +135,10 @@
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            copy_age: meter
+                .f64_gauge("bulrushhoist_copy_age_seconds")
+                .with_description("Time since the store gave this entry's copy, by kind of object")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -184,6 +195,14 @@
         self.store_calls.add(1, &labels);
     }
 
+    pub(crate) fn on_relay_failure(&self, kind: ObjectKind, cause: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind.to_string()),
+            KeyValue::new("cause", cause),
+        ];
+        self.relay_failures.add(1, &labels);
+    }
+
     pub(crate) fn on_bytes(&self, cause: ByteCause, bytes: usize) {
         let cause = KeyValue::new("cause", cause.to_string());
         self.bytes.add(bytes as u64, &[cause]);
@@ -210,6 +229,11 @@
         self.version.record(version, &[]);
     }
 
+    pub(crate) fn set_copy_age(&self, kind: ObjectKind, age: Duration) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.copy_age.record(age.as_secs_f64(), &[kind]);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub(crate) fn export(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, ObjectKind};
 use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
 use crate::relay::Relay;
@@ -95,6 +95,17 @@
         self.clock.now()
     }
 
+    /// Returns every metric as text, with the ages of the copies at this moment.
+    pub(crate) fn export_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let now = self.now();
+        for kind in ObjectKind::FOLLOWED {
+            if let Some(answered_at) = self.relay.answered_at(kind) {
+                self.metrics.set_copy_age(kind, now.since(answered_at));
+            }
+        }
+        self.metrics.export()
+    }
+
     /// Returns whether this entry takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -88,8 +88,10 @@
 }
 
 fn set_evacuated(node: &Node, name: &str, evacuated: bool) {
-    info!(node.log, "data centre's service changed"; "data_centre" => name, "out" => evacuated);
     let now = node.now();
+    let answered_at = node.relay.answered_at(ObjectKind::Evacuations);
+    let age = answered_at.map(|t| now.since(t).as_millis() as u64);
+    info!(node.log, "data centre's service changed"; "data_centre" => name, "out" => evacuated, "age_ms" => age);
     let mut state = node.state.borrow_mut();
     state.roster.evacuate(name.into(), evacuated);
     if !evacuated {
@@ -163,7 +165,13 @@
     }
     match node.dialect.decode_catalog(&object.body) {
         Ok(catalog) => {
-            info!(node.log, "configuration in force"; "version" => catalog.version, "revision" => object.revision, "routes" => catalog.route_count());
+            let origin = node.relay.origin(ObjectKind::Configuration);
+            let age = origin.as_ref().map(|o| node.now().since(o.answered_at));
+            let age = age.map(|a| a.as_millis() as u64);
+            let hops = origin.as_ref().map(|o| o.hops);
+            let source = origin.as_ref().and_then(|o| o.relay.as_deref());
+            let source = source.unwrap_or("store");
+            info!(node.log, "configuration in force"; "version" => catalog.version, "revision" => object.revision, "routes" => catalog.route_count(), "source" => source, "age_ms" => age, "hops" => hops);
             node.metrics.set_version(catalog.version);
             state.catalog_revision = object.revision;
             state.catalog = Rc::new(catalog);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::Role;
+use bulrushhoist_fleet::{Name, Role};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
@@ -88,6 +88,9 @@
     revision: u64,
     /// Time since the store gave this answer.
     age_ms: u64,
+    /// Entries through which the answer came, including the one that sends it.
+    #[serde(default)]
+    hops: u8,
     changes: Vec<RelayedChange>,
 }
 
@@ -138,10 +141,23 @@
     pub(crate) revision: u64,
     /// Time since the store gave the answer.
     pub(crate) age: Duration,
+    /// Entries through which it came.
+    pub(crate) hops: u8,
     /// The updates since the revision that was asked for.
     pub(crate) updates: Vec<RelayUpdate>,
 }
 
+/// Where an entry's copy of a kind came from.
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    /// When the store gave the answer.
+    pub(crate) answered_at: Time,
+    /// Entries through which the answer came.
+    pub(crate) hops: u8,
+    /// The relay that sent it, or `None` for the store itself.
+    pub(crate) relay: Option<Name>,
+}
+
 /// This entry's copy of the objects of one kind.
 #[derive(Default)]
 struct KindCache {
@@ -152,8 +168,8 @@
     /// Revision after which no removal is missing from `removals`.
     complete_after: u64,
     revision: u64,
-    /// When the store gave the last answer; `None` before the first.
-    answered_at: Option<Time>,
+    /// Where the latest answer of the store came from; `None` before the first.
+    origin: Option<Origin>,
 }
 
 impl KindCache {
@@ -180,14 +196,13 @@
 }
 
 impl Relay {
-    /// Replaces the copy of a kind by a complete list. `answered_at` is when the store gave
-    /// it.
+    /// Replaces the copy of a kind by a complete list.
     pub(crate) fn reset(
         &self,
         kind: ObjectKind,
         objects: &[StoredObject],
         revision: u64,
-        answered_at: Time,
+        origin: Origin,
     ) {
         let mut kinds = self.kinds.borrow_mut();
         let cache = kinds.entry(kind).or_default();
@@ -198,15 +213,18 @@
         cache.removals.clear();
         cache.complete_after = revision;
         cache.revision = revision;
-        cache.answered_at = Some(answered_at);
+        cache.origin = Some(origin);
         self.changed.notify_waiters();
     }
 
-    /// Adds the changes up to a revision. `answered_at` is as in [`Self::reset`].
-    pub(crate) fn extend(&self, kind: ObjectKind, changes: &Changes, answered_at: Time) {
+    /// Adds the changes up to a revision.
+    pub(crate) fn extend(&self, kind: ObjectKind, changes: &Changes, origin: Origin) {
         let mut kinds = self.kinds.borrow_mut();
         let cache = kinds.entry(kind).or_default();
-        cache.answered_at = cache.answered_at.max(Some(answered_at));
+        let known = cache.origin.as_ref();
+        if known.is_none_or(|o| origin.answered_at >= o.answered_at) {
+            cache.origin = Some(origin);
+        }
         cache.revision = cache.revision.max(changes.revision);
         let revision = cache.revision;
         for change in &changes.changes {
@@ -230,31 +248,40 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns where the copy of a kind came from, once there is one.
+    pub(crate) fn origin(&self, kind: ObjectKind) -> Option<Origin> {
+        self.kinds.borrow().get(&kind)?.origin.clone()
+    }
+
     /// Returns when the store gave the last answer for a kind.
-    fn answered_at(&self, kind: ObjectKind) -> Option<Time> {
-        self.kinds.borrow().get(&kind)?.answered_at
+    pub(crate) fn answered_at(&self, kind: ObjectKind) -> Option<Time> {
+        Some(self.kinds.borrow().get(&kind)?.origin.as_ref()?.answered_at)
     }
 
     /// Returns what a follower that knows the revision `after` has to receive.
     fn lookup(&self, now: Time, query: &RelayQuery, max_body: usize) -> Lookup {
         let kinds = self.kinds.borrow();
         let limit = watch_wait(query.kind) + FRESHNESS_MARGIN;
-        let fresh = |k: &&KindCache| k.answered_at.is_some_and(|t| now.since(t) < limit);
-        let Some(cache) = kinds.get(&query.kind).filter(fresh) else {
+        let cache = kinds.get(&query.kind);
+        let Some((cache, origin)) = cache.and_then(|c| Some((c, c.origin.as_ref()?))) else {
             return Lookup::Stale;
         };
+        let age = now.since(origin.answered_at);
+        if age >= limit {
+            return Lookup::Stale;
+        }
         if query
             .after
             .is_some_and(|after| after < cache.complete_after)
         {
             return Lookup::HistoryGone;
         }
-        let age = cache.answered_at.map_or(Duration::ZERO, |t| now.since(t));
         let changes = cache.changes(query.after, max_body);
         let nothing = changes.is_empty() && query.after.is_some();
         let answer = RelayedChanges {
             revision: cache.revision,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            hops: origin.hops.saturating_add(1),
             changes,
         };
         match nothing {
@@ -360,6 +387,18 @@
     Unreadable(serde_json::Error),
 }
 
+impl RelayError {
+    /// Returns the name of the cause in metrics.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::NoAnswer(_) => "no_answer",
+            Self::Refused(_) => "refused",
+            Self::HistoryGone => "history_gone",
+            Self::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
 /// Fetches the objects of a kind from a relay, or the changes after a revision.
 pub(crate) async fn fetch(
     connection: &mut Option<Connection>,
@@ -391,6 +430,7 @@
     Ok(Relayed {
         revision: answer.revision,
         age: Duration::from_millis(answer.age_ms),
+        hops: answer.hops,
         updates: answer.changes.into_iter().map(RelayUpdate::from).collect(),
     })
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -150,7 +150,7 @@
             *response.status_mut() = status;
             response
         }
-        ListenerRole::Metrics => match node.metrics.export() {
+        ListenerRole::Metrics => match node.export_metrics() {
             Ok(text) => Response::new(AnswerBody::complete(text)),
             Err(error) => {
                 warn!(node.log, "metrics not exported"; "cause" => %error);
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -19,7 +19,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::records::{apply_change, apply_list};
-use crate::relay::{self, RelayError, RelayQuery, RelayUpdate, Relayed};
+use crate::relay::{self, Origin, RelayError, RelayQuery, RelayUpdate, Relayed};
 use crate::store::{StoreError, watch_wait};
 
 /// Time for which a relay is not followed after it could not be reached.
@@ -49,6 +49,9 @@
 /// The same on entries that follow a hub.
 const FOLLOWER_BATCH_PAUSE: Duration = Duration::from_millis(200);
 
+/// Minimum time between two log lines about the same failure of the same relay.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Where an entry gets the changes of a kind from.
 enum Source {
     Store,
@@ -93,6 +96,8 @@
     avoided: Vec<(Name, Time)>,
     /// When this entry goes to the store because it finds no relay.
     fallback_at: Option<Time>,
+    /// The failure of a relay that was last logged: relay, cause and when.
+    failure_logged: Option<(Name, &'static str, Time)>,
 }
 
 /// Follows one kind of objects until the process ends.
@@ -106,6 +111,7 @@
         listed: false,
         avoided: Vec::new(),
         fallback_at: None,
+        failure_logged: None,
     };
     if kind == ObjectKind::Entries && follower.node.settings.bootstrap {
         tokio::time::sleep(REGISTRATION_TIME).await;
@@ -256,15 +262,19 @@
             Ok(relayed) => {
                 on_answer(node, "relay", true);
                 self.fallback_at = None;
-                let answered_at = node.now() - relayed.age;
+                let origin = Origin {
+                    answered_at: node.now() - relayed.age,
+                    hops: relayed.hops,
+                    relay: Some(name),
+                };
                 let revision = relayed.revision;
                 let changes = self.read_omitted(relayed).await?;
                 let any = !changes.is_empty();
                 if self.cursor.revision.is_none() {
                     let objects = changes.into_iter().filter_map(Change::into_put);
-                    self.replace(objects.collect(), revision, answered_at);
+                    self.replace(objects.collect(), revision, origin);
                 } else {
-                    self.apply(Changes { changes, revision }, answered_at);
+                    self.apply(Changes { changes, revision }, origin);
                 }
                 if any && role == Role::Follower && self.kind == ObjectKind::Endpoints {
                     tokio::time::sleep(FOLLOWER_BATCH_PAUSE).await;
@@ -279,13 +289,28 @@
                     RelayError::Refused(_) => STALE_RELAY_BACKOFF,
                     _ => UNREACHABLE_RELAY_BACKOFF,
                 };
-                info!(node.log, "relay not followed"; "kind" => %self.kind, "peer" => &*name, "cause" => %error);
-                self.avoided.push((name, node.now() + pause));
+                let now = node.now();
+                self.report_failure(now, &name, &error);
+                self.avoided.push((name, now + pause));
             }
         }
         Ok(())
     }
 
+    /// Counts a failure of a relay, and logs it unless the same one was logged recently.
+    fn report_failure(&mut self, now: Time, relay: &Name, error: &RelayError) {
+        let (node, cause) = (&self.node, error.name());
+        node.metrics.on_relay_failure(self.kind, cause);
+        let logged = self.failure_logged.as_ref();
+        let known = logged.is_some_and(|(name, last, at)| {
+            name == relay && *last == cause && now.since(*at) < FAILURE_LOG_INTERVAL
+        });
+        if !known {
+            info!(node.log, "relay not followed"; "kind" => %self.kind, "peer" => &**relay, "cause" => %error);
+            self.failure_logged = Some((relay.clone(), cause, now));
+        }
+    }
+
     /// Reads from the store the objects whose bodies a relay left out.
     async fn read_omitted(&self, relayed: Relayed) -> Result<Vec<Change>, StoreError> {
         let mut changes = Vec::with_capacity(relayed.updates.len());
@@ -315,8 +340,7 @@
             };
             let (objects, revision) = node.store.list(self.kind, consistency).await?;
             on_store_answer(node, "list");
-            let now = node.now();
-            self.replace(objects, revision, now);
+            self.replace(objects, revision, self.store_origin());
             return Ok(());
         };
         let wait = watch_wait(self.kind);
@@ -327,8 +351,7 @@
         match watched {
             Ok(changes) => {
                 on_store_answer(node, "watch");
-                let now = node.now();
-                self.apply(changes, now);
+                self.apply(changes, self.store_origin());
                 if self.kind == ObjectKind::Endpoints && !peers::may_plan(&self.node) {
                     tokio::time::sleep(BATCH_PAUSE).await;
                 }
@@ -342,21 +365,28 @@
         }
     }
 
-    /// Applies a complete list and keeps it for followers. `answered_at` is when the store
-    /// gave it.
-    fn replace(&mut self, objects: Vec<StoredObject>, revision: u64, answered_at: Time) {
+    /// Returns the origin of an answer that the store has just given.
+    fn store_origin(&self) -> Origin {
+        Origin {
+            answered_at: self.node.now(),
+            hops: 0,
+            relay: None,
+        }
+    }
+
+    /// Applies a complete list and keeps it for followers.
+    fn replace(&mut self, objects: Vec<StoredObject>, revision: u64, origin: Origin) {
         let node = &self.node;
-        node.relay.reset(self.kind, &objects, revision, answered_at);
+        node.relay.reset(self.kind, &objects, revision, origin);
         apply_list(node, self.kind, objects);
         self.cursor.advance(revision);
         self.listed = true;
     }
 
-    /// Applies changes and keeps them for followers. `answered_at` is when the store gave
-    /// them.
-    fn apply(&mut self, changes: Changes, answered_at: Time) {
+    /// Applies changes and keeps them for followers.
+    fn apply(&mut self, changes: Changes, origin: Origin) {
         let node = &self.node;
-        node.relay.extend(self.kind, &changes, answered_at);
+        node.relay.extend(self.kind, &changes, origin);
         self.cursor.advance(changes.revision);
         let any = !changes.changes.is_empty();
         for change in changes.changes {
--- a/crates/entry/tests/unit/relay.rs
+++ b/crates/entry/tests/unit/relay.rs
@@ -5,7 +5,7 @@
 use bulrushhoist_core::Time;
 use bytes::Bytes;
 
-use super::{Lookup, MAX_CACHED_REMOVALS, Relay, RelayQuery, RelayedChange};
+use super::{Lookup, MAX_CACHED_REMOVALS, Origin, Relay, RelayQuery, RelayedChange};
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
 
 const KIND: ObjectKind = ObjectKind::Endpoints;
@@ -31,6 +31,15 @@
     Time::from_millis(millis)
 }
 
+/// Returns the origin of an answer that the store gave at a time.
+fn at(millis: u64) -> Origin {
+    Origin {
+        answered_at: ms(millis),
+        hops: 0,
+        relay: None,
+    }
+}
+
 /// Returns the changes that a follower gets, as text, or the name of the refusal.
 fn changes(relay: &Relay, now: Time, after: Option<u64>) -> Vec<String> {
     let answer = match relay.lookup(now, &query(after), 1_024) {
@@ -48,7 +57,7 @@
 
 fn relay() -> Relay {
     let relay = Relay::default();
-    relay.reset(KIND, &[object("a", "1"), object("b", "1")], 10, ms(0));
+    relay.reset(KIND, &[object("a", "1"), object("b", "1")], 10, at(0));
     relay
 }
 
@@ -80,7 +89,7 @@
     for revision in 11..500 {
         let body = revision.to_string();
         let changes = vec![Change::Put(object("a", &body))];
-        relay.extend(KIND, &Changes { changes, revision }, ms(0));
+        relay.extend(KIND, &Changes { changes, revision }, at(0));
     }
     assert_eq!(changes(&relay, ms(0), Some(10)), ["a=499"]);
     assert!(changes(&relay, ms(0), Some(499)).is_empty());
@@ -92,7 +101,7 @@
             changes: removed,
             revision,
         },
-        ms(0),
+        at(0),
     );
     assert_eq!(changes(&relay, ms(0), Some(499)), ["-b"]);
     let back = vec![Change::Put(object("b", "2"))];
@@ -103,7 +112,7 @@
             changes: back,
             revision,
         },
-        ms(0),
+        at(0),
     );
     assert_eq!(changes(&relay, ms(0), Some(499)), ["b=2"]);
 }
@@ -114,7 +123,7 @@
     let relay = relay();
     for revision in 11..=(11 + MAX_CACHED_REMOVALS as u64) {
         let changes = vec![Change::Removed(format!("gone-{revision}"))];
-        relay.extend(KIND, &Changes { changes, revision }, ms(0));
+        relay.extend(KIND, &Changes { changes, revision }, at(0));
     }
     assert_eq!(changes(&relay, ms(0), Some(10)), ["history gone"]);
     assert_eq!(changes(&relay, ms(0), None), ["a=1", "b=1"]);
@@ -129,10 +138,10 @@
         changes: Vec::new(),
         revision: 10,
     };
-    relay.extend(KIND, &nothing(), ms(1_000));
+    relay.extend(KIND, &nothing(), at(1_000));
     assert!(changes(&relay, ms(3_200), Some(10)).is_empty());
     // The relay that this one follows answered just now, with a copy that is as old.
-    relay.extend(KIND, &nothing(), ms(900));
+    relay.extend(KIND, &nothing(), at(900));
     assert_eq!(changes(&relay, ms(3_400), Some(10)), ["stale"]);
 }
 
@@ -140,6 +149,6 @@
 fn a_large_object_is_named_instead_of_sent() {
     let relay = Relay::default();
     let large = "x".repeat(2_000);
-    relay.reset(KIND, &[object("a", &large)], 10, ms(0));
+    relay.reset(KIND, &[object("a", &large)], 10, at(0));
     assert_eq!(changes(&relay, ms(0), None), ["read a"]);
 }
