Let entries follow the watchers of their own data centre

What happened: an entry went to the store itself, or followed an entry of another data centre, although a watcher was in its own. In a deployment of one data centre without hubs every entry watched the store. Cause: the watchers were filtered by the hubs of the data centre, which were added to the list only for followers. A watcher that is a hub was in neither part. Change: the filter compares with the list itself.

--- a/crates/fleet/src/membership/relays.rs
+++ b/crates/fleet/src/membership/relays.rs
@@ -42,7 +42,11 @@
         if self.role != Role::Direct && !hubs.contains(&own) {
             keys.extend(rotated(&hubs, own));
         }
-        keys.extend(rotated(&watchers, own).filter(|k| !hubs.contains(k)));
+        for key in rotated(&watchers, own) {
+            if !keys.contains(&key) {
+                keys.push(key);
+            }
+        }
         keys.retain(|k| *k != own);
         let names = keys.iter().filter_map(|k| self.registry.get(*k));
         RelayChoice::Entries(names.map(|e| e.name.clone()).collect())
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -6,7 +6,7 @@
 
 use bulrushhoist_fleet::{
     DigestRate, EndpointLoad, EntryInfo, EntryStatus, Health, HealthMonitor, HealthSettings,
-    Membership, MembershipSettings, News, Report, Sender, SharedRetryBudget,
+    Membership, MembershipSettings, News, RelayChoice, Report, Sender, SharedRetryBudget,
     SharedRetryBudgetSettings, name_key,
 };
 use support::ms;
@@ -225,3 +225,23 @@
     small.on_report(ms(0), report("a", 1));
     assert!(!small.may_plan(ms(0), status("0", false)));
 }
+
+/// Guards against an entry that goes to the store itself because the entries that watch it
+/// are the first ones of its own data centre.
+#[test]
+fn an_entry_finds_no_relay_among_the_watchers_of_its_data_centre() {
+    let names = ["a", "b", "c", "d"];
+    let choices = names.map(|own| {
+        let others: Vec<&str> = names.into_iter().filter(|n| *n != own).collect();
+        let mut entry = membership(own, 250, &others);
+        entry.refresh(ms(0));
+        entry.choose_relay(ms(0), true)
+    });
+    let watchers = choices.iter().filter(|c| **c == RelayChoice::Store);
+    assert_eq!(watchers.count(), 2, "{choices:?}");
+    for choice in &choices {
+        if let RelayChoice::Entries(relays) = choice {
+            assert_eq!(relays.len(), 2, "{choices:?}");
+        }
+    }
+}
