Bound the age of each entry's copy of the store

Change: CopyAge in crates/fleet. Every entry knows when the store gave its copy, and asks the store itself on a new connection when the copy is too old: watchers first, then hubs, then the others, spread over the entries. The ages are parts of the smallest of the platform's bounds for changes. A relay with a stale copy holds a request for 0.4 s, as it is about to be renewed. A failed call no longer keeps an entry from asking relays.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -8,8 +8,8 @@
 
 use bulrushhoist_core::{Time, stable_hash};
 use bulrushhoist_fleet::{
-    Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership, MembershipSettings, Name,
-    SlowLeader, Suspicion, Work, name_key,
+    AgeLimits, Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership,
+    MembershipSettings, Name, SlowLeader, Suspicion, Work, name_key,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -21,7 +21,7 @@
 use crate::relay::Relay;
 use crate::settings::{Bounds, Settings};
 use crate::state::{Phase, State};
-use crate::store::StoreClient;
+use crate::store::{StoreClient, age_limits};
 
 /// Slowdown from which on a leader is reported to the other entries as slow.
 const MIN_REPORTED_SLOWDOWN: f64 = 1.3;
@@ -95,6 +95,11 @@
         self.clock.now()
     }
 
+    /// Returns at which ages of its copy an entry asks the store for changes of a kind.
+    pub(crate) fn age_limits(&self, kind: ObjectKind) -> AgeLimits {
+        age_limits(kind, self.bounds.get().change)
+    }
+
     /// Returns every metric as text, with the ages of the copies at this moment.
     pub(crate) fn export_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
         let now = self.now();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -24,19 +24,21 @@
 use crate::clock::Clock;
 use crate::connection::{Connection, ConnectionError};
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
-use crate::store::watch_wait;
 
 /// Removals of one kind that are kept for followers at most.
 const MAX_CACHED_REMOVALS: usize = 400;
 /// Time beyond the wait of a watch after which the store's last answer is too old for
 /// this entry to be followed.
-const FRESHNESS_MARGIN: Duration = Duration::from_millis(800);
+pub(crate) const FRESHNESS_MARGIN: Duration = Duration::from_millis(800);
 /// Time that a relay holds a follower's request open while nothing has changed.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same in a deployment with hubs. It exceeds the wait of a watch, after which the
 /// store's answer ends the request, so the number of requests stays small.
 const LONG_POLL_TIMEOUT_WITH_HUBS: Duration = Duration::from_millis(1_700);
-/// Time beyond the long poll within which the answer must arrive.
+/// Time for which a relay whose copy is stale holds a request, since its copy is about to
+/// be renewed.
+const STALE_HOLD_TIME: Duration = Duration::from_millis(400);
+/// Time beyond the long poll within which the answer must begin.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
 /// Time within which a relay accepts a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -258,16 +260,16 @@
         Some(self.kinds.borrow().get(&kind)?.origin.as_ref()?.answered_at)
     }
 
-    /// Returns what a follower that knows the revision `after` has to receive.
-    fn lookup(&self, now: Time, query: &RelayQuery, max_body: usize) -> Lookup {
+    /// Returns what a follower that knows the revision `after` has to receive from a copy
+    /// that is younger than `max_age`.
+    fn lookup(&self, now: Time, query: &RelayQuery, max_body: usize, max_age: Duration) -> Lookup {
         let kinds = self.kinds.borrow();
-        let limit = watch_wait(query.kind) + FRESHNESS_MARGIN;
         let cache = kinds.get(&query.kind);
         let Some((cache, origin)) = cache.and_then(|c| Some((c, c.origin.as_ref()?))) else {
             return Lookup::Stale;
         };
         let age = now.since(origin.answered_at);
-        if age >= limit {
+        if age >= max_age {
             return Lookup::Stale;
         }
         if query
@@ -290,21 +292,26 @@
         }
     }
 
-    /// Answers a follower, after a wait while nothing has changed. Objects with a larger
-    /// body than `max_body` are only named.
+    /// Answers a follower, after a wait while nothing has changed or while the copy is
+    /// older than `max_age`. Objects with a larger body than `max_body` are only named.
     pub(crate) async fn answer(
         &self,
         clock: &Clock,
         query: &RelayQuery,
         max_body: usize,
+        max_age: Duration,
     ) -> (StatusCode, Bytes) {
-        let end = tokio::time::Instant::now() + query.wait;
+        let start = tokio::time::Instant::now();
+        let end = start + query.wait;
+        let hold_end = end.min(start + STALE_HOLD_TIME);
         let asked_at = self.answered_at(query.kind);
         loop {
             let changed = self.changed.notified();
             let over = tokio::time::Instant::now() >= end;
             let renewed = self.answered_at(query.kind) != asked_at;
-            match self.lookup(clock.now(), query, max_body) {
+            let mut limit = end;
+            match self.lookup(clock.now(), query, max_body, max_age) {
+                Lookup::Stale if tokio::time::Instant::now() < hold_end => limit = hold_end,
                 Lookup::Stale => return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
                 Lookup::HistoryGone => return (StatusCode::GONE, Bytes::new()),
                 Lookup::Unchanged(_) if !over && !renewed => {}
@@ -314,7 +321,7 @@
                 }
             }
             // Whether this was a change or the timeout shows in the next lookup.
-            let _ = tokio::time::timeout_at(end, changed).await;
+            let _ = tokio::time::timeout_at(limit, changed).await;
         }
     }
 }
@@ -399,11 +406,13 @@
     }
 }
 
-/// Fetches the objects of a kind from a relay, or the changes after a revision.
+/// Fetches the objects of a kind from a relay, or the changes after a revision. The answer
+/// must begin within `limit`.
 pub(crate) async fn fetch(
     connection: &mut Option<Connection>,
     address: SocketAddr,
     query: &RelayQuery,
+    limit: Duration,
 ) -> Result<Relayed, RelayError> {
     let mut open = match connection.take().filter(Connection::is_usable) {
         Some(open) => open,
@@ -416,9 +425,8 @@
     request
         .headers_mut()
         .insert(HOST, HeaderValue::from_static("relay"));
-    let fetched = open
-        .fetch_large(request, query.wait + ANSWER_MARGIN, MAX_ANSWER_BYTES)
-        .await;
+    let limit = limit.min(query.wait + ANSWER_MARGIN);
+    let fetched = open.fetch_large(request, limit, MAX_ANSWER_BYTES).await;
     let (status, body) = fetched.map_err(RelayError::NoAnswer)?;
     *connection = Some(open);
     match status {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -38,6 +38,8 @@
     pub retries: SharedRetryBudgetSettings,
     /// Whether endpoints check fencing tokens.
     pub fencing: bool,
+    /// Time in which a change in the store must take effect at every entry.
+    pub change: Duration,
 }
 
 /// All settings of a process.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
+use bulrushhoist_fleet::AgeLimits;
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::Full;
@@ -19,24 +20,26 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout of a call other than a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time beyond the wait of a watch within which its answer must arrive.
+/// Time beyond the wait of a watch within which its answer must begin.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum size of an answer; a page of a list has about one megabyte.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
-/// Longest wait of a watch for kinds whose changes must take effect soon. A watch that the
-/// store drops without closing the connection is noticed only after this time.
-const WATCH_WAIT_SHORT: Duration = Duration::from_millis(1_500);
-/// Longest wait of a watch for the other kinds.
+/// Longest wait of a watch for the kinds whose changes may come late.
 const WATCH_WAIT_LONG: Duration = Duration::from_secs(10);
+/// Time after the end of such a watch in which the store is asked again.
+const LONG_WATCH_SLACK: Duration = Duration::from_secs(3);
 
-/// Returns the longest wait of a watch for a kind.
-pub(crate) const fn watch_wait(kind: ObjectKind) -> Duration {
+/// Returns at which ages of a copy the store is asked for changes of a kind, which must take
+/// effect within `bound`.
+pub(crate) fn age_limits(kind: ObjectKind, bound: Duration) -> AgeLimits {
     match kind {
         ObjectKind::Configuration | ObjectKind::Endpoints | ObjectKind::Evacuations => {
-            WATCH_WAIT_SHORT
+            AgeLimits::within(bound)
+        }
+        ObjectKind::Entries | ObjectKind::Plans => {
+            AgeLimits::relaxed(WATCH_WAIT_LONG, LONG_WATCH_SLACK)
         }
-        ObjectKind::Entries | ObjectKind::Plans => WATCH_WAIT_LONG,
     }
 }
 
@@ -148,13 +151,15 @@
         }
     }
 
-    /// Waits for changes of a kind after a revision, for `wait` at most.
+    /// Waits for changes of a kind after a revision, for `wait` at most. The answer must
+    /// begin no later than `margin` after that.
     pub(crate) async fn watch(
         &self,
         connection: &mut Option<Connection>,
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
+        margin: Duration,
     ) -> Result<Changes, StoreError> {
         let mut open = match connection.take().filter(Connection::is_usable) {
             Some(open) => open,
@@ -164,7 +169,7 @@
         };
         let path = self.dialect.watch_path(kind, revision, wait);
         let request = self.request(Method::GET, &path, Bytes::new());
-        let limit = wait + WATCH_MARGIN;
+        let limit = wait + WATCH_MARGIN.min(margin);
         let answer = open.fetch_large(request, limit, MAX_ANSWER_BYTES).await;
         let answer = answer.map_err(StoreError::NoAnswer)?;
         *connection = Some(open);
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -3,24 +3,25 @@
 //! A few entries watch the store itself; the others follow one of them or a hub of their
 //! data centre, see [`crate::relay`]. An entry that finds none to follow goes to the store
 //! after a delay that grows with the number of entries, so that the calls of all of them
-//! together stay few.
+//! together stay few. An entry whose copy grows too old asks the store itself, whatever its
+//! source does, see [`CopyAge`].
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Name, RelayChoice, Role, name_key};
+use bulrushhoist_fleet::{CopyAge, Distance, Name, Place, RelayChoice, Role, name_key};
 use rand::RngExt as _;
 use slog::{debug, info, warn};
 
-use crate::connection::Connection;
+use crate::connection::{Connection, ConnectionError};
 use crate::dialect::{Change, Changes, Consistency, ObjectKind, StoredObject};
 use crate::node::Node;
 use crate::peers;
 use crate::records::{apply_change, apply_list};
 use crate::relay::{self, Origin, RelayError, RelayQuery, RelayUpdate, Relayed};
-use crate::store::{StoreError, watch_wait};
+use crate::store::StoreError;
 
 /// Time for which a relay is not followed after it could not be reached.
 const UNREACHABLE_RELAY_BACKOFF: Duration = Duration::from_secs(3);
@@ -28,16 +29,18 @@
 const STALE_RELAY_BACKOFF: Duration = Duration::from_millis(600);
 /// The same before this entry has a copy of its own: the relay may be starting, too.
 const STARTING_RELAY_BACKOFF: Duration = Duration::from_millis(150);
-/// Shortest pause before a failed call is repeated.
-const MIN_RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause before a failed call of an entry that watches the store is repeated.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 /// Time without an entry to follow after which an entry goes to the store, in a deployment
 /// of one entry.
 const MIN_FALLBACK_DELAY: Duration = Duration::from_millis(400);
 /// Part of that time that each entry adds. A random time of up to twice as much is added,
 /// too, so the entries go to the store one after the other.
 const FALLBACK_DELAY_PER_ENTRY: Duration = Duration::from_millis(8);
+/// Shortest time that a relay has for its answer.
+const MIN_RELAY_TIME: Duration = Duration::from_millis(100);
+/// Wait of a watch that only asks for the changes up to now.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+/// Time in which the answer to such a watch must begin.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval at which an entry without a source looks for one.
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for which all entries of a new deployment register before the first of them lists
@@ -55,11 +58,20 @@
 /// Where an entry gets the changes of a kind from.
 enum Source {
     Store,
+    /// The store, at once and on a new connection: the copy is too old.
+    Probe,
     Relay(Name, SocketAddr),
     /// There is none yet.
     Wait,
 }
 
+/// What a fetch from a relay brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Answered,
+    Nothing,
+}
+
 /// How far a kind of objects is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Cursor {
@@ -92,6 +104,10 @@
     relay: Option<Name>,
     /// Whether the kind has been listed before.
     listed: bool,
+    /// Age of this entry's copy, and its failed calls to the store.
+    age: CopyAge,
+    /// This entry's place among all that may call the store.
+    place: Place,
     /// Relays that failed, and until when they are not used.
     avoided: Vec<(Name, Time)>,
     /// When this entry goes to the store because it finds no relay.
@@ -102,6 +118,7 @@
 
 /// Follows one kind of objects until the process ends.
 pub(crate) async fn follow(node: Rc<Node>, kind: ObjectKind) {
+    let draw = node.state.borrow_mut().rng.random();
     let mut follower = Follower {
         node,
         kind,
@@ -109,6 +126,12 @@
         connection: None,
         relay: None,
         listed: false,
+        age: CopyAge::default(),
+        place: Place {
+            distance: Distance::Follower,
+            draw,
+            entries: 0,
+        },
         avoided: Vec::new(),
         fallback_at: None,
         failure_logged: None,
@@ -116,44 +139,28 @@
     if kind == ObjectKind::Entries && follower.node.settings.bootstrap {
         tokio::time::sleep(REGISTRATION_TIME).await;
     }
-    let mut pause = MIN_RETRY_PAUSE;
     let mut failures = 0;
     loop {
         let result = match follower.choose_source() {
             Source::Relay(name, address) => follower.follow_relay(name, address).await,
             Source::Store => follower.follow_store().await,
+            Source::Probe => follower.probe_store().await,
             Source::Wait => {
                 tokio::time::sleep(SOURCE_POLL_INTERVAL).await;
                 continue;
             }
         };
-        let node = &follower.node;
         match result {
-            Ok(()) => {
+            Ok(Progress::Answered) => {
                 if failures > 1 {
-                    info!(node.log, "store is back"; "kind" => %kind, "revision" => follower.cursor.revision);
+                    info!(follower.node.log, "store is back"; "kind" => %kind, "revision" => follower.cursor.revision);
                 }
                 failures = 0;
-                pause = MIN_RETRY_PAUSE;
             }
+            Ok(Progress::Nothing) => {}
             Err(error) => {
                 failures += 1;
-                on_answer(node, "follow", false);
-                // A single failure may be a watch whose connection was closed while it
-                // waited; only a second one counts as the loss of the store.
-                if failures == 1 {
-                    continue;
-                }
-                if failures == 2 {
-                    warn!(node.log, "store lost"; "kind" => %kind, "cause" => %error);
-                }
-                {
-                    let mut state = node.state.borrow_mut();
-                    state.roster.on_store_lost();
-                    state.contact.on_failure(node.now());
-                }
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(follower.max_retry_pause());
+                follower.on_store_failure(failures, &error);
             }
         }
     }
@@ -167,8 +174,13 @@
         self.avoided.retain(|(_, until)| now < *until);
         // The first list of the entries' addresses must come from the store: without the
         // addresses no relay can be reached.
+        let may_call = self.age.may_call(now);
+        let store = match may_call {
+            true => Source::Store,
+            false => Source::Wait,
+        };
         if self.kind == ObjectKind::Entries && !self.listed {
-            return Source::Store;
+            return store;
         }
         let state = self.node.state.borrow();
         if !state.has_entries {
@@ -177,15 +189,23 @@
         // In a small deployment the calls for the first list cost less than the time until
         // a relay is found, of which many may have stopped together with this entry.
         if !self.listed && state.peers.role() == Role::Direct {
-            return Source::Store;
+            return store;
         }
         let choice = state
             .peers
             .choose_relay(now, state.contact.reaches_store(now));
+        self.place.entries = state.peers.registered_count();
+        self.place.distance = match (&choice, state.peers.role()) {
+            (RelayChoice::Store, _) => Distance::Watcher,
+            (_, Role::Hub) => Distance::Hub,
+            (_, Role::Follower | Role::Direct) => Distance::Follower,
+        };
+        let due_at = self.due_at();
         let source = match choice {
+            _ if due_at.is_some_and(|due| now >= due) => Source::Probe,
             RelayChoice::Store => {
                 self.fallback_at = None;
-                Source::Store
+                store
             }
             RelayChoice::Entries(names) => {
                 let usable = |name: &&Name| self.avoided.iter().all(|(a, _)| a != *name);
@@ -199,12 +219,12 @@
         };
         drop(state);
         let source = match source {
-            Source::Wait if self.is_fallback_due(now) => Source::Store,
+            Source::Wait if may_call && self.is_fallback_due(now) => Source::Store,
             other => other,
         };
         let relay = match &source {
             Source::Relay(name, _) => Some(name.clone()),
-            Source::Store => None,
+            Source::Store | Source::Probe => None,
             Source::Wait => return source,
         };
         if relay != self.relay {
@@ -228,20 +248,40 @@
         now >= *self.fallback_at.get_or_insert_with(|| now + delay())
     }
 
-    /// Returns the longest pause between failed calls to the store. Of the entries that
-    /// only fall back to it, all together call it as often as a few that watch it.
-    fn max_retry_pause(&self) -> Duration {
-        let entries = self.node.state.borrow().peers.registered_count();
-        let spread = FALLBACK_DELAY_PER_ENTRY * u32::try_from(entries).unwrap_or(u32::MAX);
-        match self.fallback_at {
-            Some(_) => MAX_RETRY_PAUSE.max(spread * 2),
-            None => MAX_RETRY_PAUSE,
+    /// Returns when this entry asks the store because its copy is too old, once the kind has
+    /// been listed.
+    fn due_at(&self) -> Option<Time> {
+        let limits = self.node.age_limits(self.kind);
+        let due = self.age.due_at(limits, self.place);
+        due.filter(|_| self.listed)
+    }
+
+    /// Records a call that the store did not answer, the `failures`th in a row.
+    fn on_store_failure(&mut self, failures: u32, error: &StoreError) {
+        let node = &self.node;
+        on_answer(node, "follow", false);
+        let now = node.now();
+        self.age.on_store_failure(now, self.place);
+        // A single failure may be a watch whose connection was closed while it waited; only
+        // a second one counts as the loss of the store.
+        if failures == 1 {
+            return;
         }
+        if failures == 2 {
+            warn!(node.log, "store lost"; "kind" => %self.kind, "cause" => %error);
+        }
+        let mut state = node.state.borrow_mut();
+        state.roster.on_store_lost();
+        state.contact.on_failure(now);
     }
 
     /// Fetches once from a relay and applies the answer. If the relay fails, this entry
     /// avoids it for a while and goes to another one or to the store.
-    async fn follow_relay(&mut self, name: Name, address: SocketAddr) -> Result<(), StoreError> {
+    async fn follow_relay(
+        &mut self,
+        name: Name,
+        address: SocketAddr,
+    ) -> Result<Progress, StoreError> {
         let (own, role) = {
             let state = self.node.state.borrow();
             (name_key(&self.node.settings.node), state.peers.role())
@@ -252,7 +292,10 @@
             wait: relay::long_poll_timeout(role),
             follower: own,
         };
-        let fetched = relay::fetch(&mut self.connection, address, &query).await;
+        let due_at = self.due_at();
+        let left = due_at.map(|due| due.since(self.node.now()).max(MIN_RELAY_TIME));
+        let limit = left.unwrap_or(Duration::MAX);
+        let fetched = relay::fetch(&mut self.connection, address, &query, limit).await;
         let node = &self.node;
         match fetched {
             Ok(relayed) if !self.cursor.accepts(relayed.revision) => {
@@ -268,7 +311,16 @@
                     relay: Some(name),
                 };
                 let revision = relayed.revision;
-                let changes = self.read_omitted(relayed).await?;
+                self.age.on_answer(origin.answered_at);
+                let changes = match self.read_omitted(relayed).await {
+                    Ok(changes) => changes,
+                    Err(error) => {
+                        let relay = origin.relay.into_iter();
+                        let until = self.node.now() + STALE_RELAY_BACKOFF;
+                        self.avoided.extend(relay.map(|name| (name, until)));
+                        return Err(error);
+                    }
+                };
                 let any = !changes.is_empty();
                 if self.cursor.revision.is_none() {
                     let objects = changes.into_iter().filter_map(Change::into_put);
@@ -279,6 +331,7 @@
                 if any && role == Role::Follower && self.kind == ObjectKind::Endpoints {
                     tokio::time::sleep(FOLLOWER_BATCH_PAUSE).await;
                 }
+                return Ok(Progress::Answered);
             }
             Err(RelayError::HistoryGone) => self.cursor.revision = None,
             Err(error) => {
@@ -287,6 +340,10 @@
                         STARTING_RELAY_BACKOFF
                     }
                     RelayError::Refused(_) => STALE_RELAY_BACKOFF,
+                    // It had less time than it may take while nothing changes.
+                    RelayError::NoAnswer(ConnectionError::TimedOut) if limit < query.wait => {
+                        STALE_RELAY_BACKOFF
+                    }
                     _ => UNREACHABLE_RELAY_BACKOFF,
                 };
                 let now = node.now();
@@ -294,7 +351,7 @@
                 self.avoided.push((name, now + pause));
             }
         }
-        Ok(())
+        Ok(Progress::Nothing)
     }
 
     /// Counts a failure of a relay, and logs it unless the same one was logged recently.
@@ -329,7 +386,33 @@
     }
 
     /// Lists or watches the store once and applies the answer.
-    async fn follow_store(&mut self) -> Result<(), StoreError> {
+    async fn follow_store(&mut self) -> Result<Progress, StoreError> {
+        let limits = self.node.age_limits(self.kind);
+        let age = self.node.relay.answered_at(self.kind);
+        let age = age.map_or(Duration::ZERO, |t| self.node.now().since(t));
+        let wait = limits.watch_wait().saturating_sub(age).max(PROBE_WAIT);
+        let watching = Place {
+            distance: Distance::Watcher,
+            ..self.place
+        };
+        let margin = limits.max_age(watching) - limits.watch_wait();
+        self.ask_store(wait, margin.min(PROBE_TIMEOUT)).await?;
+        if self.kind == ObjectKind::Endpoints && !peers::may_plan(&self.node) {
+            tokio::time::sleep(BATCH_PAUSE).await;
+        }
+        Ok(Progress::Answered)
+    }
+
+    /// Asks the store for the changes up to now. The old connection may have gone silent.
+    async fn probe_store(&mut self) -> Result<Progress, StoreError> {
+        self.connection = None;
+        self.ask_store(PROBE_WAIT, PROBE_TIMEOUT).await?;
+        Ok(Progress::Answered)
+    }
+
+    /// Lists the store, or watches it for `wait`, and applies the answer, which must begin
+    /// within `margin` after the wait.
+    async fn ask_store(&mut self, wait: Duration, margin: Duration) -> Result<(), StoreError> {
         let node = &self.node;
         let Some(revision) = self.cursor.revision else {
             // A later list must not be older than what is known; the first one may be stale,
@@ -339,22 +422,18 @@
                 false => Consistency::Stale,
             };
             let (objects, revision) = node.store.list(self.kind, consistency).await?;
-            on_store_answer(node, "list");
+            self.on_store_answer("list");
             self.replace(objects, revision, self.store_origin());
             return Ok(());
         };
-        let wait = watch_wait(self.kind);
-        let watched = node
+        let connection = &mut self.connection;
+        let watch = node
             .store
-            .watch(&mut self.connection, self.kind, revision, wait)
-            .await;
-        match watched {
+            .watch(connection, self.kind, revision, wait, margin);
+        match watch.await {
             Ok(changes) => {
-                on_store_answer(node, "watch");
+                self.on_store_answer("watch");
                 self.apply(changes, self.store_origin());
-                if self.kind == ObjectKind::Endpoints && !peers::may_plan(&self.node) {
-                    tokio::time::sleep(BATCH_PAUSE).await;
-                }
                 Ok(())
             }
             Err(StoreError::HistoryGone) => {
@@ -365,6 +444,14 @@
         }
     }
 
+    /// Counts an answer of the store itself.
+    fn on_store_answer(&mut self, purpose: &'static str) {
+        let now = self.node.now();
+        on_answer(&self.node, purpose, true);
+        self.node.state.borrow_mut().contact.on_direct_answer(now);
+        self.age.on_store_answer(now);
+    }
+
     /// Returns the origin of an answer that the store has just given.
     fn store_origin(&self) -> Origin {
         Origin {
@@ -398,12 +485,6 @@
     }
 }
 
-/// Counts an answer of the store itself.
-fn on_store_answer(node: &Node, purpose: &'static str) {
-    on_answer(node, purpose, true);
-    node.state.borrow_mut().contact.on_direct_answer(node.now());
-}
-
 /// Counts a call to the store or a relay, and records contact with the store.
 fn on_answer(node: &Node, purpose: &'static str, ok: bool) {
     node.metrics.on_store_call(purpose, ok);
--- a/crates/entry/tests/unit/relay.rs
+++ b/crates/entry/tests/unit/relay.rs
@@ -9,6 +9,8 @@
 use crate::dialect::{Change, Changes, ObjectKind, StoredObject};
 
 const KIND: ObjectKind = ObjectKind::Endpoints;
+/// Age from which a copy is stale.
+const MAX_AGE: Duration = Duration::from_millis(2_300);
 
 fn object(name: &str, body: &str) -> StoredObject {
     StoredObject {
@@ -42,7 +44,7 @@
 
 /// Returns the changes that a follower gets, as text, or the name of the refusal.
 fn changes(relay: &Relay, now: Time, after: Option<u64>) -> Vec<String> {
-    let answer = match relay.lookup(now, &query(after), 1_024) {
+    let answer = match relay.lookup(now, &query(after), 1_024, MAX_AGE) {
         Lookup::Stale => return vec!["stale".to_owned()],
         Lookup::HistoryGone => return vec!["history gone".to_owned()],
         Lookup::Unchanged(answer) | Lookup::Changed(answer) => answer,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/SYSTEM.md`.
 
 mod catalog;
+mod copy_age;
 mod directory;
 mod endpoint;
 mod health;
@@ -27,6 +28,7 @@
 pub use catalog::{
     CallKind, CallerLimits, Catalog, Denial, Engine, Model, Route, Service, Target, Team,
 };
+pub use copy_age::{AgeLimits, CopyAge, Distance, Place};
 pub use directory::{DirectoryEntry, draw_addresses};
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
 pub use health::{Health, HealthMonitor, HealthSettings};
