Apply the rest of a relay's answer when an object cannot be read

An object that is too large to be relayed is read from the store. If that read failed, all other changes in the answer were dropped, again and again: a follower that the store refuses kept using an endpoint that was gone. Change: the other changes are applied, the revision stays, and the relay is asked again after the pause for a stale one. Result: a_drained_endpoint_is_used_because_another_record_cannot_be_read fails without the change and passes.

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -368,9 +368,11 @@
         }
     }
 
-    /// Reads from the store the objects whose bodies a relay left out.
+    /// Reads from the store the objects whose bodies a relay left out. If that fails, what
+    /// the relay did send is applied, and the rest is asked for again.
     async fn read_omitted(&self, relayed: Relayed) -> Result<Vec<Change>, StoreError> {
         let mut changes = Vec::with_capacity(relayed.updates.len());
+        let mut failure = None;
         for update in relayed.updates {
             match update {
                 RelayUpdate::Change(change) => changes.push(change),
@@ -378,11 +380,20 @@
                     debug!(self.node.log, "object read"; "kind" => %self.kind, "name" => &name, "revision" => revision);
                     let object = self.node.store.read(self.kind, &name).await;
                     self.node.metrics.on_store_call("read", object.is_ok());
-                    changes.push(Change::Put(object?));
+                    match object {
+                        Ok(object) => changes.push(Change::Put(object)),
+                        Err(error) => failure = Some(error),
+                    }
                 }
             }
         }
-        Ok(changes)
+        let Some(error) = failure else {
+            return Ok(changes);
+        };
+        for change in changes {
+            apply_change(&self.node, self.kind, change);
+        }
+        Err(error)
     }
 
     /// Lists or watches the store once and applies the answer.
