Count the limits that endpoints name, and log unusable ones

Each answer with a limit is counted as the notice `limit`, and one that can't be used (0, negative, not a number, two that differ) as `unusable_limit`, with a log line in 10 s at most. No choice depends on it yet.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -39,6 +39,8 @@
     pub not_run: HeaderName,
     /// Present with the value 1 in all answers of an endpoint that leaves.
     pub leaving: HeaderName,
+    /// Requests a second that an endpoint in need takes from all entries together.
+    pub limit: HeaderName,
     /// Stamp by which an endpoint shows that it made the answer.
     pub stamp: HeaderName,
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -51,8 +51,8 @@
     pub(crate) planner_wake: Notify,
     /// Wakes the calls that wait when something is quarantined.
     pub(crate) quarantine_changed: Notify,
-    /// When a pause that isn't usable was last logged.
-    pub(crate) bad_pause_logged: Cell<Option<Time>>,
+    /// When a notice that isn't usable was last logged.
+    pub(crate) bad_notice_logged: Cell<Option<Time>>,
 }
 
 impl Node {
@@ -87,7 +87,7 @@
             relay: Relay::default(),
             planner_wake: Notify::new(),
             quarantine_changed: Notify::new(),
-            bad_pause_logged: Cell::new(None),
+            bad_notice_logged: Cell::new(None),
         }
     }
 
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -4,7 +4,7 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Departure, Endpoint, MAX_PAUSE, Name};
-use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, RETRY_AFTER};
 use slog::{info, warn};
 
 use crate::connection::Connection;
@@ -16,8 +16,8 @@
 /// arrives though some are lost.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(2);
 
-/// Minimum time between two log lines about pauses that aren't usable.
-const BAD_PAUSE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// Minimum time between two log lines about notices that aren't usable.
+const BAD_NOTICE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The error of a pause that isn't a number of seconds, is negative, or is given twice with
 /// different values.
@@ -42,6 +42,31 @@
     Ok(Some(Duration::from_secs_f64(seconds)))
 }
 
+/// Largest limit that is understood, in requests a second. It is no limit for any endpoint.
+const MAX_LIMIT_PER_S: f64 = 1e6;
+
+/// The error of a limit that isn't a positive number of requests a second, or is given twice
+/// with different values.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct UnusableLimit;
+
+/// Returns the requests a second that an answer names, [`MAX_LIMIT_PER_S`] at most.
+fn parse_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, UnusableLimit> {
+    let mut values = headers.get_all(name).iter();
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|v| v != first) {
+        return Err(UnusableLimit);
+    }
+    let per_s = first.to_str().ok().and_then(|v| v.trim().parse().ok());
+    let per_s: f64 = per_s.ok_or(UnusableLimit)?;
+    match per_s > 0.0 {
+        true => Ok(Some(per_s.min(MAX_LIMIT_PER_S))),
+        false => Err(UnusableLimit),
+    }
+}
+
 impl Node {
     /// Reads what an endpoint says of itself in an answer to whichever request: the
     /// connection leads to this incarnation.
@@ -53,6 +78,16 @@
                 incarnation: endpoint.incarnation,
             });
         }
+        match parse_limit(headers, &self.dialect.headers().limit) {
+            Ok(Some(_)) => self.metrics.on_notice("limit"),
+            Ok(None) => {}
+            Err(UnusableLimit) => {
+                self.metrics.on_notice("unusable_limit");
+                if self.may_log_notice(self.now()) {
+                    warn!(self.log, "limit not usable"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation);
+                }
+            }
+        }
     }
 
     /// Reads the pause that an endpoint asks for as it refuses a request.
@@ -63,7 +98,7 @@
             Ok(None) => return,
             Err(UnusablePause) => {
                 self.metrics.on_notice("unusable_pause");
-                if self.may_log_pause(now) {
+                if self.may_log_notice(now) {
                     warn!(self.log, "pause not usable"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation);
                 }
                 return;
@@ -78,13 +113,13 @@
         info!(self.log, "endpoint pauses"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "for_ms" => time.as_millis() as u64);
     }
 
-    /// Returns whether a line about an unusable pause may be logged: a faulty endpoint may
+    /// Returns whether a line about an unusable notice may be logged: a faulty endpoint may
     /// send one with each answer.
-    fn may_log_pause(&self, now: Time) -> bool {
-        let last = self.bad_pause_logged.get();
-        let due = last.is_none_or(|t| now.since(t) >= BAD_PAUSE_LOG_INTERVAL);
+    fn may_log_notice(&self, now: Time) -> bool {
+        let last = self.bad_notice_logged.get();
+        let due = last.is_none_or(|t| now.since(t) >= BAD_NOTICE_LOG_INTERVAL);
         if due {
-            self.bad_pause_logged.set(Some(now));
+            self.bad_notice_logged.set(Some(now));
         }
         due
     }
