Send endpoints no more than the rate that they name

Cause: nothing read the header. Change: NamedLimits in crates/fleet. Of an endpoint that names R requests a second, floor(R) + 1 entries hold the rate, those that follow its hash on a ring of the registered entries which may be alive; each has an equal share as a token bucket of one request, empty at first. So the entries together send 4 R + floor(R) + 1 in 4 s at most, where 6 R + 5 are allowed, and views that differ in one entry differ in one holder. The others send nothing there. First attempts, repeats, resumptions and queued requests take a token as they are chosen; one that was chosen before the news takes it as it is sent. Entries report new, changed and ended limits for 1 s, and confirmed ones once more every 4 s; after 15 s without confirmation a limit is forgotten. An answer without the header ends the limit unless its request was sent before the last answer with it. While every endpoint has reached its limit, a request waits only if it can still meet its objective, else it is refused as `limited` with the time until the next token. Ruled out: a share for each entry. With 1,000 holders the new property test fails at once.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -31,18 +31,25 @@
 pub(crate) struct InFlight {
     node: Rc<Node>,
     pub(crate) endpoint: Endpoint,
+    /// Whether the request was counted against the endpoint's limit as it was chosen.
+    pub(crate) counted: bool,
     /// Prompt tokens, until the first event.
     prefill_tokens: Option<u32>,
 }
 
 impl InFlight {
     pub(crate) fn start(node: &Rc<Node>, endpoint: Endpoint, prefill_tokens: u32) -> Self {
-        node.state
-            .borrow_mut()
-            .on_sent(node.now(), &endpoint.id, prefill_tokens);
+        let now = node.now();
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let mut state = node.state.borrow_mut();
+        state.on_sent(now, id, prefill_tokens);
+        let limits = &mut state.limits;
+        let counted = limits.is_limited(id, incarnation) && limits.take(now, id, incarnation);
+        drop(state);
         Self {
             node: node.clone(),
             endpoint,
+            counted,
             prefill_tokens: Some(prefill_tokens),
         }
     }
@@ -137,11 +144,12 @@
 pub(crate) async fn send(
     node: &Node,
     call: &Call,
-    endpoint: &Endpoint,
+    in_flight: &InFlight,
     deadline: Time,
     wait_policy: WaitPolicy,
     last_event: Option<&str>,
 ) -> Result<OpenResponse, AttemptError> {
+    let endpoint = &in_flight.endpoint;
     let reuse = match call.route.is_idempotent() {
         true => Reuse::Any,
         false => Reuse::Recent,
@@ -151,13 +159,14 @@
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
         let mut connection =
             connection.map_err(|e| on_connection_error(node, call, endpoint, &e))?;
-        // While the connection was opened, the endpoint may have said that it leaves or
-        // pauses.
-        if !node.may_send(endpoint) {
+        // While the connection was opened, the endpoint may have said that it leaves, pauses
+        // or has a limit.
+        if !node.may_send(in_flight) {
             return Err(AttemptError::NotRun(RetryCause::Unsent));
         }
         let request = build_request(node, call, endpoint, deadline, last_event);
         node.on_call_bytes(endpoint, call.body.len());
+        let sent_at = node.now();
         let sent = wait_for(
             node,
             endpoint,
@@ -186,7 +195,10 @@
             Ok(Ok(response)) => response,
         };
         apply_keep_alive(node, &mut connection, response.headers());
-        node.read_notices(endpoint, response.headers());
+        // Another endpoint that has the address now speaks of itself.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            node.read_notices(endpoint, response.headers(), sent_at);
+        }
         check_response(node, call, endpoint, &response)?;
         return Ok(OpenResponse {
             connection,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -49,6 +49,7 @@
     waited: Histogram<f64>,
     quarantined: Gauge<u64>,
     paused: Gauge<u64>,
+    limited: Gauge<u64>,
     version: Gauge<u64>,
     copy_age: Gauge<f64>,
 }
@@ -131,6 +132,10 @@
                 .u64_gauge("bulrushhoist_paused_endpoints")
                 .with_description("Endpoints that asked this entry for a pause")
                 .build(),
+            limited: meter
+                .u64_gauge("bulrushhoist_limited_endpoints")
+                .with_description("Endpoints that name a limit, as far as this entry knows")
+                .build(),
             version: meter
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
@@ -225,6 +230,10 @@
         self.paused.record(count as u64, &[]);
     }
 
+    pub(crate) fn set_limited(&self, count: usize) {
+        self.limited.record(count as u64, &[]);
+    }
+
     pub(crate) fn set_version(&self, version: u64) {
         self.version.record(version, &[]);
     }
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Departure, Endpoint, MAX_PAUSE, Name};
+use bulrushhoist_fleet::{Aged, Departure, Endpoint, MAX_PAUSE, Name, NamedLimit};
 use hyper::header::{HeaderMap, HeaderName, RETRY_AFTER};
 use slog::{info, warn};
 
+use crate::attempt::InFlight;
 use crate::connection::Connection;
 use crate::node::Node;
 
@@ -42,15 +43,19 @@
     Ok(Some(Duration::from_secs_f64(seconds)))
 }
 
-/// Largest limit that is understood, in requests a second. It is no limit for any endpoint.
-const MAX_LIMIT_PER_S: f64 = 1e6;
+/// Smallest limit that is understood, in requests a second. A smaller one would stop its
+/// endpoint for minutes.
+pub(crate) const MIN_LIMIT_PER_S: f64 = 0.05;
+/// Largest limit that is understood. It is no limit for any endpoint.
+pub(crate) const MAX_LIMIT_PER_S: f64 = 1e6;
 
 /// The error of a limit that isn't a positive number of requests a second, or is given twice
 /// with different values.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct UnusableLimit;
 
-/// Returns the requests a second that an answer names, [`MAX_LIMIT_PER_S`] at most.
+/// Returns the requests a second that an answer names, from [`MIN_LIMIT_PER_S`] to
+/// [`MAX_LIMIT_PER_S`].
 fn parse_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, UnusableLimit> {
     let mut values = headers.get_all(name).iter();
     let Some(first) = values.next() else {
@@ -62,15 +67,15 @@
     let per_s = first.to_str().ok().and_then(|v| v.trim().parse().ok());
     let per_s: f64 = per_s.ok_or(UnusableLimit)?;
     match per_s > 0.0 {
-        true => Ok(Some(per_s.min(MAX_LIMIT_PER_S))),
+        true => Ok(Some(per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S))),
         false => Err(UnusableLimit),
     }
 }
 
 impl Node {
     /// Reads what an endpoint says of itself in an answer to whichever request: the
-    /// connection leads to this incarnation.
-    pub(crate) fn read_notices(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+    /// connection leads to this incarnation. The request was sent at `sent`.
+    pub(crate) fn read_notices(&self, endpoint: &Endpoint, headers: &HeaderMap, sent: Time) {
         let leaving = headers.get(&self.dialect.headers().leaving);
         if leaving.is_some_and(|v| v.as_bytes().trim_ascii() == LEAVING.as_bytes()) {
             self.on_departure(&Departure {
@@ -79,8 +84,7 @@
             });
         }
         match parse_limit(headers, &self.dialect.headers().limit) {
-            Ok(Some(_)) => self.metrics.on_notice("limit"),
-            Ok(None) => {}
+            Ok(per_s) => self.on_limit(endpoint, per_s, sent),
             Err(UnusableLimit) => {
                 self.metrics.on_notice("unusable_limit");
                 if self.may_log_notice(self.now()) {
@@ -113,6 +117,40 @@
         info!(self.log, "endpoint pauses"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "for_ms" => time.as_millis() as u64);
     }
 
+    /// Records the limit that an answer named, or that it named none.
+    fn on_limit(&self, endpoint: &Endpoint, per_s: Option<f64>, sent: Time) {
+        let now = self.now();
+        let said = NamedLimit {
+            endpoint: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+            per_s,
+        };
+        if per_s.is_some() {
+            self.metrics.on_notice("limit");
+        }
+        if self.state.borrow_mut().limits.observe(now, sent, &said) {
+            self.on_limit_changed(&said, "answer");
+        }
+    }
+
+    /// Records a limit that another entry reported.
+    pub(crate) fn on_reported_limit(&self, reported: &Aged<NamedLimit>) {
+        let now = self.now();
+        if self.state.borrow_mut().limits.merge(now, reported) {
+            self.on_limit_changed(&reported.item, "peer");
+        }
+    }
+
+    fn on_limit_changed(&self, said: &NamedLimit, source: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.refresh_limits(now);
+        let share = state.limits.share(&said.endpoint, said.incarnation);
+        drop(state);
+        info!(self.log, "endpoint's limit changed"; "endpoint" => &*said.endpoint, "born" => said.incarnation, "per_s" => said.per_s, "share" => share, "source" => source);
+        self.advance_queues();
+    }
+
     /// Returns whether a line about an unusable notice may be logged: a faulty endpoint may
     /// send one with each answer.
     fn may_log_notice(&self, now: Time) -> bool {
@@ -125,7 +163,7 @@
     }
 
     /// Returns the time after which a caller may come back that was refused because every
-    /// endpoint pauses, if any still does.
+    /// endpoint pauses or has reached its limit, if any still does.
     pub(crate) fn shortest_pause(&self, service: &Name, model: Option<&Name>) -> Option<Duration> {
         let now = self.now();
         let state = self.state.borrow();
@@ -133,7 +171,7 @@
         let plain = model.is_none().then(|| state.roster.of_service(service));
         let all = leaders.into_iter().flatten();
         let all = all.chain(plain.into_iter().flatten());
-        all.filter_map(|e| state.pauses.remaining(now, &e.id, e.incarnation))
+        all.filter_map(|e| state.held_back(now, e).map(|h| h.time()))
             .min()
     }
 
@@ -163,13 +201,18 @@
         departures.iter().map(|(d, _)| d.clone()).collect()
     }
 
-    /// Returns whether a request may be sent to an endpoint that was chosen before.
-    pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
+    /// Returns whether a request may be sent to the endpoint that was chosen for it before.
+    pub(crate) fn may_send(&self, in_flight: &InFlight) -> bool {
         let now = self.now();
-        let state = self.state.borrow();
+        let endpoint = &in_flight.endpoint;
+        let mut state = self.state.borrow_mut();
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let paused = state.pauses.remaining(now, id, incarnation).is_some();
-        !paused && !state.roster.is_leaving(id, incarnation)
+        if paused || state.roster.is_leaving(id, incarnation) {
+            return false;
+        }
+        // One that was chosen before the limit was known counts, too.
+        in_flight.counted || state.limits.take(now, id, incarnation)
     }
 
     /// Keeps a connection for later requests, unless its endpoint gets none.
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -26,6 +26,9 @@
     LineFull,
     /// Every endpoint that could run it asked for a pause, which lasts too long for it.
     Paused,
+    /// Every endpoint that could run it has reached the limit that it named, for longer than
+    /// the request may wait.
+    Limited,
     /// It was in the queue for the longest time allowed.
     WaitedOut,
     /// Several endpoints were lost while they ran it.
@@ -49,10 +52,10 @@
     }
 
     /// Returns what the caller is told if no further attempt is possible for `reason`. A
-    /// pause of the other endpoints says when to come back, as long as nothing has run.
+    /// pause or limit of the other endpoints says when to come back, as long as nothing has run.
     pub(crate) const fn without_retry(self, reason: Self) -> Self {
         match (self, reason) {
-            (Self::EndpointRefused, Self::Paused) => Self::Paused,
+            (Self::EndpointRefused, Self::Paused | Self::Limited) => reason,
             _ => self,
         }
     }
@@ -72,6 +75,7 @@
             | Self::NoEndpoint
             | Self::LineFull
             | Self::Paused
+            | Self::Limited
             | Self::WaitedOut
             | Self::Quarantined
             | Self::QuarantinedPart
--- a/crates/entry/src/peer_messages.rs
+++ b/crates/entry/src/peer_messages.rs
@@ -8,11 +8,12 @@
 
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus, News,
-    Report, Scope, Sender, SlowLeader, Subject, Suspicion,
+    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus,
+    NamedLimit, News, Report, Scope, Sender, SlowLeader, Subject, Suspicion,
 };
 
 use crate::call::MAX_SHARED_PARTS;
+use crate::notices::{MAX_LIMIT_PER_S, MIN_LIMIT_PER_S};
 
 /// A [`Suspicion`] or [`Departure`] on the wire.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -47,6 +48,22 @@
     answers: Vec<AnswerMessage>,
     #[prost(message, repeated, tag = "11")]
     departures: Vec<IncarnationMessage>,
+    #[prost(message, repeated, tag = "12")]
+    limits: Vec<LimitMessage>,
+}
+
+/// A [`NamedLimit`] on the wire.
+#[derive(Clone, PartialEq, prost::Message)]
+struct LimitMessage {
+    #[prost(string, tag = "1")]
+    endpoint: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    /// Absent if the endpoint names no limit any more.
+    #[prost(double, optional, tag = "3")]
+    per_s: Option<f64>,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
 }
 
 /// A [`CrashReport`] on the wire.
@@ -263,6 +280,7 @@
             crashes: news.crashes.iter().map(CrashMessage::from).collect(),
             answers: news.answers.iter().map(AnswerMessage::from).collect(),
             departures: departures.collect(),
+            limits: news.limits.iter().map(LimitMessage::from).collect(),
         }
     }
 }
@@ -295,6 +313,7 @@
             crashes: self.crashes.into_iter().map(Aged::from).collect(),
             answers: self.answers.into_iter().map(Aged::from).collect(),
             departures: self.departures.into_iter().map(Departure::from).collect(),
+            limits: self.limits.into_iter().filter_map(read_limit).collect(),
         };
         news.limit();
         Some(news)
@@ -352,6 +371,32 @@
     }
 }
 
+impl From<&Aged<NamedLimit>> for LimitMessage {
+    fn from(limit: &Aged<NamedLimit>) -> Self {
+        Self {
+            endpoint: limit.item.endpoint.to_string(),
+            incarnation: limit.item.incarnation,
+            per_s: limit.item.per_s,
+            age_ms: age_ms(limit.age),
+        }
+    }
+}
+
+/// Returns a limit, unless its rate can't be one.
+fn read_limit(message: LimitMessage) -> Option<Aged<NamedLimit>> {
+    let range = MIN_LIMIT_PER_S..=MAX_LIMIT_PER_S;
+    if message.per_s.is_some_and(|per_s| !range.contains(&per_s)) {
+        return None;
+    }
+    let age = Duration::from_millis(message.age_ms.into());
+    let item = NamedLimit {
+        endpoint: message.endpoint.into(),
+        incarnation: message.incarnation,
+        per_s: message.per_s,
+    };
+    Some(Aged { item, age })
+}
+
 impl From<IncarnationMessage> for Departure {
     fn from(message: IncarnationMessage) -> Self {
         Self {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -131,6 +131,7 @@
     let mut state = node.state.borrow_mut();
     let crashes = state.quarantine.reports(now);
     let answers = state.quarantine.answers(now);
+    let limits = state.limits.announcements(now);
     drop(state);
     node.report_verdicts();
     let mut news = News {
@@ -140,6 +141,7 @@
         crashes,
         answers,
         departures: node.recent_departures(),
+        limits,
     };
     news.limit();
     OwnNews { status, news }
@@ -193,6 +195,7 @@
         PeerMessage::Digest(digest) => &digest.news,
     };
     let departures = news.departures.clone();
+    let limits = news.limits.clone();
     state.traffic_seen |= !news.loads.is_empty();
     for suspicion in &news.suspects {
         let known = state.roster.get(&suspicion.endpoint);
@@ -213,6 +216,9 @@
     for departure in &departures {
         node.on_departure(departure);
     }
+    for limit in &limits {
+        node.on_reported_limit(limit);
+    }
     if newly_suspected {
         node.planner_wake.notify_one();
     }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,6 +1,7 @@
 //! Calls with a single answer instead of a stream.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Endpoint, Name, PlainChoice};
@@ -21,6 +22,9 @@
 /// be sent to another endpoint.
 const ATTEMPT_TIME_SHARE: f64 = 0.7;
 
+/// Shortest wait for the limit of an endpoint.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
+
 /// An endpoint's answer.
 pub(crate) struct PlainAnswer {
     pub(crate) parts: Parts,
@@ -41,7 +45,11 @@
             return failure.ok_or(Refusal::TimedOut);
         }
         let endpoint = match choose_endpoint(node, call, now, &tried) {
-            Ok(endpoint) => endpoint,
+            Ok(Chosen::Endpoint(endpoint)) => *endpoint,
+            Ok(Chosen::After(time)) => {
+                tokio::time::sleep(time).await;
+                continue;
+            }
             Err(reason) if tried.is_empty() => return Err(reason),
             Err(reason) => return failure.ok_or(refusal.without_retry(reason)),
         };
@@ -93,20 +101,27 @@
     }
 }
 
-fn choose_endpoint(
-    node: &Node,
-    call: &Call,
-    now: Time,
-    tried: &[Name],
-) -> Result<Endpoint, Refusal> {
+/// Where a call goes next.
+enum Chosen {
+    Endpoint(Box<Endpoint>),
+    /// Every endpoint has reached its limit, and one takes the call after this time.
+    After(Duration),
+}
+
+fn choose_endpoint(node: &Node, call: &Call, now: Time, tried: &[Name]) -> Result<Chosen, Refusal> {
     let mut state = node.state.borrow_mut();
     match state.choose_endpoint(now, &node.settings.data_centre, &call.service, tried) {
         PlainChoice::Endpoint(id) => {
             let endpoint = state.roster.get(&id).cloned();
-            endpoint.ok_or(Refusal::NoEndpoint)
+            let endpoint = endpoint.ok_or(Refusal::NoEndpoint)?;
+            Ok(Chosen::Endpoint(Box::new(endpoint)))
         }
         // Such a call has little time; its caller knows best whether to come back.
         PlainChoice::Paused(_) => Err(Refusal::Paused),
+        PlainChoice::Limited(time) if now + time <= call.received + call.route.objective / 2 => {
+            Ok(Chosen::After(time.max(MIN_LIMIT_WAIT)))
+        }
+        PlainChoice::Limited(_) => Err(Refusal::Limited),
         PlainChoice::Unavailable => Err(Refusal::NoEndpoint),
     }
 }
@@ -119,7 +134,7 @@
 ) -> Result<PlainAnswer, AttemptError> {
     let in_flight = InFlight::start(node, endpoint, 0);
     let endpoint = &in_flight.endpoint;
-    let answered = exchange(node, call, endpoint);
+    let answered = exchange(node, call, &in_flight);
     let limit = node.clock.instant(attempt_end);
     let answer = tokio::time::timeout_at(limit, answered).await;
     match answer {
@@ -138,10 +153,11 @@
 async fn exchange(
     node: &Node,
     call: &Call,
-    endpoint: &Endpoint,
+    in_flight: &InFlight,
 ) -> Result<PlainAnswer, AttemptError> {
+    let endpoint = &in_flight.endpoint;
     let wait_policy = WaitPolicy::Deadline;
-    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, None).await?;
+    let opened = attempt::send(node, call, in_flight, call.deadline, wait_policy, None).await?;
     let (parts, body) = opened.response.into_parts();
     let body = collect(body, MAX_ANSWER_BYTES).await;
     let body = body.map_err(|error| {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -21,6 +21,8 @@
 
 /// Interval at which the queues and idle connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the shares of limits are set anew.
+const LIMIT_REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the signal to stop during which connections stay open, because callers with
 /// an older directory answer still use them.
 const CONNECTION_KEEP_TIME: Duration = Duration::from_millis(3_500);
@@ -169,10 +171,19 @@
 /// endpoints, at a fixed interval.
 async fn sweep(node: Rc<Node>) {
     let mut paused = 0;
+    let mut limits_refreshed = node.now();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
-        node.advance_queues();
         let now = node.now();
+        if now.since(limits_refreshed) >= LIMIT_REFRESH_INTERVAL {
+            limits_refreshed = now;
+            let mut state = node.state.borrow_mut();
+            state.refresh_limits(now);
+            let count = state.limits.count();
+            drop(state);
+            node.metrics.set_limited(count);
+        }
+        node.advance_queues();
         node.pool.sweep(now);
         let count = node.state.borrow().pauses.count(now);
         if count != paused {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -329,7 +329,7 @@
         let state = node.state.borrow();
         state.quarantine.check(now, c.fingerprint, &c.parts)
     });
-    let pause = context.filter(|_| refusal == Refusal::Paused);
+    let pause = context.filter(|_| matches!(refusal, Refusal::Paused | Refusal::Limited));
     let pause = pause.and_then(|c| node.shortest_pause(&c.service, c.model.as_ref()));
     if refusal == Refusal::Stopping {
         headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,11 +9,12 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine, FirstEventLatency, Health,
-    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, MAX_PAUSE, Membership, Name,
-    Pauses, PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, QueueSettings,
-    RequestQueue, Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit,
-    StoreContact, Work, choose_leader, choose_plain_endpoint, max_event_gap, name_key,
+    Allowance, Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine,
+    FirstEventLatency, Health, HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings,
+    MAX_PAUSE, Membership, Name, NamedLimits, Pauses, PlainCandidate, PlainChoice, Quarantine,
+    QuarantineSettings, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
+    SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work, choose_leader,
+    choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -37,6 +38,35 @@
 /// Time after a pause for which its endpoint is treated as cold.
 const RESUMPTION_TIME: Duration = Duration::from_secs(2);
 
+/// Longest time for which a limit is expected to hold requests back. Callers of an entry
+/// that holds no share of it come back then, and likely to another entry.
+const MAX_LIMITED_TIME: Duration = Duration::from_millis(1_500);
+
+/// Why an endpoint takes no request of this entry now, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeldBack {
+    /// It asked for a pause.
+    Paused(Duration),
+    /// It has reached the limit that it named.
+    Limited(Duration),
+}
+
+impl HeldBack {
+    pub(crate) const fn time(self) -> Duration {
+        match self {
+            Self::Paused(time) | Self::Limited(time) => time,
+        }
+    }
+
+    /// Returns the one that ends first.
+    fn sooner(self, other: Self) -> Self {
+        match other.time() < self.time() {
+            true => other,
+            false => self,
+        }
+    }
+}
+
 /// Whether the entry takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -101,6 +131,8 @@
     pub(crate) departures: Vec<(Departure, Time)>,
     /// Pauses that endpoints asked this entry for.
     pub(crate) pauses: Pauses,
+    /// Rates that endpoints name for all entries together.
+    pub(crate) limits: NamedLimits,
     pub(crate) contact: StoreContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
@@ -130,6 +162,7 @@
             suspicions: HashMap::new(),
             departures: Vec::new(),
             pauses: Pauses::default(),
+            limits: NamedLimits::default(),
             contact: StoreContact::default(),
             traffic_seen: false,
             planning: false,
@@ -248,10 +281,15 @@
             .filter(|e| !avoid.contains(&e.id));
         let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
-        let mut pause: Option<Duration> = None;
+        let mut held: Option<HeldBack> = None;
+        let mut rate = 0.0;
         for leader in usable {
-            if let Some(remaining) = self.pauses.remaining(now, &leader.id, leader.incarnation) {
-                pause = Some(pause.map_or(remaining, |p| p.min(remaining)));
+            rate += self
+                .limits
+                .share(&leader.id, leader.incarnation)
+                .unwrap_or(0.0);
+            if let Some(reason) = self.held_back(now, leader) {
+                held = Some(held.map_or(reason, |h| h.sooner(reason)));
                 continue;
             }
             let candidate = Candidate {
@@ -282,8 +320,17 @@
         } else {
             &candidates[..]
         };
-        if let (true, Some(remaining)) = (chosen.is_empty(), pause) {
-            return LeaderChoice::Paused(remaining);
+        match held {
+            Some(HeldBack::Paused(remaining)) if chosen.is_empty() => {
+                return LeaderChoice::Paused(remaining);
+            }
+            Some(HeldBack::Limited(remaining)) if chosen.is_empty() => {
+                // Those that wait already go first.
+                let ahead = queue.map_or(0, |q| q.waiting.len()) as f64;
+                let ahead = Duration::try_from_secs_f64(ahead / rate).unwrap_or(MAX_LIMITED_TIME);
+                return LeaderChoice::Limited(remaining.saturating_add(ahead));
+            }
+            _ => {}
         }
         if self.is_share_used(now, engine, chosen) {
             return LeaderChoice::Full;
@@ -309,13 +356,11 @@
         tried: &[Name],
     ) -> PlainChoice {
         let mut endpoints: SmallVec<[PlainCandidate; 8]> = SmallVec::new();
-        let mut pause: Option<Duration> = None;
+        let mut held: Option<HeldBack> = None;
         for endpoint in self.roster.of_service(service) {
-            let paused = self
-                .pauses
-                .remaining(now, &endpoint.id, endpoint.incarnation);
-            if let Some(remaining) = paused.filter(|_| !tried.contains(&endpoint.id)) {
-                pause = Some(pause.map_or(remaining, |p| p.min(remaining)));
+            let reason = self.held_back(now, endpoint);
+            if let Some(reason) = reason.filter(|_| !tried.contains(&endpoint.id)) {
+                held = Some(held.map_or(reason, |h| h.sooner(reason)));
                 continue;
             }
             let health = self.health(now, endpoint);
@@ -331,12 +376,33 @@
                 tried: tried.contains(&endpoint.id),
             });
         }
-        match (choose_plain_endpoint(&endpoints, &mut self.rng), pause) {
-            (PlainChoice::Unavailable, Some(remaining)) => PlainChoice::Paused(remaining),
+        match (choose_plain_endpoint(&endpoints, &mut self.rng), held) {
+            (PlainChoice::Unavailable, Some(HeldBack::Paused(time))) => PlainChoice::Paused(time),
+            (PlainChoice::Unavailable, Some(HeldBack::Limited(time))) => PlainChoice::Limited(time),
             (choice, _) => choice,
         }
     }
 
+    /// Returns why and how long this entry may not send an endpoint a request.
+    pub(crate) fn held_back(&self, now: Time, endpoint: &Endpoint) -> Option<HeldBack> {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        if let Some(remaining) = self.pauses.remaining(now, id, incarnation) {
+            return Some(HeldBack::Paused(remaining));
+        }
+        match self.limits.allowance(now, id, incarnation) {
+            Allowance::Free => None,
+            Allowance::After(time) => Some(HeldBack::Limited(time)),
+            Allowance::HeldByOthers => Some(HeldBack::Limited(MAX_LIMITED_TIME)),
+        }
+    }
+
+    /// Sets this entry's shares of the limits by the entries that are alive now.
+    pub(crate) fn refresh_limits(&mut self, now: Time) {
+        let peers = &self.peers;
+        let holds = |id: &Name, count| peers.rate_holders(now, name_key(id), count);
+        self.limits.refresh(now, holds);
+    }
+
     /// Records a pause that an endpoint asked for. After it the endpoint gets its load as a
     /// cold one does, and not all that has waited at one moment. Returns whether it is
     /// longer than one before.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -205,7 +205,7 @@
     let mut in_flight = InFlight::start(node, endpoint, call.work.prompt_tokens);
     let endpoint = &in_flight.endpoint;
     let last = progress.splitter.last_id();
-    let opened = attempt::send(node, call, endpoint, call.deadline, wait_policy, last).await?;
+    let opened = attempt::send(node, call, &in_flight, call.deadline, wait_policy, last).await?;
     let (parts, mut body) = opened.response.into_parts();
     let connection = opened.connection;
     if !parts.status.is_success() {
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -54,19 +54,20 @@
             let late = !retried && now + first > call.objective();
             // A request that can still meet its objective need not wait behind late ones.
             let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
-            let placed = match must_wait {
-                true => LeaderChoice::Full,
-                false => {
-                    let slot_limit = if late {
-                        SlotLimit::Unreserved
-                    } else {
-                        SlotLimit::All
-                    };
-                    let centre = &node.settings.data_centre;
-                    state.choose_leader(now, centre, &key, call.work, slot_limit, avoid)
-                }
+            let slot_limit = if late {
+                SlotLimit::Unreserved
+            } else {
+                SlotLimit::All
+            };
+            let centre = &node.settings.data_centre;
+            let placed = state.choose_leader(now, centre, &key, call.work, slot_limit, avoid);
+            // A stream that was begun elsewhere is worth more than a punctual start.
+            let limited_until = match retried {
+                true => call.deadline,
+                false => call.objective(),
             };
             match placed {
+                LeaderChoice::Leader(..) if must_wait => join_queue(&mut state, now, &key, call)?,
                 LeaderChoice::Leader(id, _) => {
                     state.queue(&key).waiting.on_start(now);
                     let found = state.roster.get(&id).cloned();
@@ -80,6 +81,10 @@
                     join_queue(&mut state, now, &key, call)?
                 }
                 LeaderChoice::Paused(_) => return Err(Refusal::Paused),
+                LeaderChoice::Limited(time) if now + time + first <= limited_until => {
+                    join_queue(&mut state, now, &key, call)?
+                }
+                LeaderChoice::Limited(_) => return Err(Refusal::Limited),
                 LeaderChoice::Full => join_queue(&mut state, now, &key, call)?,
             }
         };
--- a/crates/entry/tests/unit/notices.rs
+++ b/crates/entry/tests/unit/notices.rs
@@ -5,7 +5,9 @@
 use bulrushhoist_fleet::MAX_PAUSE;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 
-use super::{MAX_LIMIT_PER_S, UnusableLimit, UnusablePause, parse_limit, parse_pause};
+use super::{
+    MAX_LIMIT_PER_S, MIN_LIMIT_PER_S, UnusableLimit, UnusablePause, parse_limit, parse_pause,
+};
 
 fn headers(values: &[&str]) -> HeaderMap {
     let mut headers = HeaderMap::new();
@@ -49,6 +51,9 @@
     for huge in ["1e300", "inf", "99999999999999999999"] {
         assert_eq!(parse(&[huge]), Ok(Some(MAX_LIMIT_PER_S)));
     }
+    for tiny in ["0.001", "1e-300"] {
+        assert_eq!(parse(&[tiny]), Ok(Some(MIN_LIMIT_PER_S)));
+    }
     for unusable in ["0", "-0", "-1", "nan", "4,2", "many", ""] {
         assert_eq!(parse(&[unusable]), Err(UnusableLimit), "{unusable}");
     }
--- a/crates/entry/tests/unit/peer_messages.rs
+++ b/crates/entry/tests/unit/peer_messages.rs
@@ -4,12 +4,13 @@
 
 use bulrushhoist_core::Fingerprint;
 use bulrushhoist_fleet::{
-    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus, News,
-    Report, Scope, Sender, SlowLeader, Subject, Suspicion,
+    Aged, Answer, CrashReport, Departure, Digest, DigestRate, EndpointLoad, EntryStatus,
+    NamedLimit, News, Report, Scope, Sender, SlowLeader, Subject, Suspicion,
 };
 use smallvec::smallvec;
 
-use super::{PeerMessage, decode, encode_digest, encode_report};
+use super::{LimitMessage, PeerMessage, decode, encode_digest, encode_report, read_limit};
+use crate::notices::MAX_LIMIT_PER_S;
 use crate::peers::MAX_DATAGRAM_BYTES;
 
 const SENDER: Sender = Sender {
@@ -58,6 +59,19 @@
             endpoint: "i-02d9e6b4".into(),
             incarnation: 1_764_860_000_001,
         }],
+        limits: [Some(4.25), Some(MAX_LIMIT_PER_S), None]
+            .into_iter()
+            .cycle()
+            .take(64)
+            .map(|per_s| Aged {
+                item: NamedLimit {
+                    endpoint: "i-02d9e6b4c7".into(),
+                    incarnation: u64::MAX,
+                    per_s,
+                },
+                age: Duration::from_millis(14_999),
+            })
+            .collect(),
     }
 }
 
@@ -120,3 +134,18 @@
         assert!(decode(&noise).is_none(), "{noise:?}");
     }
 }
+
+/// Guards against a rate in a message that no limit can have, which would end in a division or
+/// a time out of range.
+#[test]
+fn an_impossible_rate_of_another_entry_is_obeyed() {
+    for per_s in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300, 1e-300] {
+        let message = LimitMessage {
+            endpoint: "i-1".to_owned(),
+            incarnation: 1,
+            per_s: Some(per_s),
+            age_ms: 0,
+        };
+        assert_eq!(read_limit(message), None, "{per_s}");
+    }
+}
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -108,6 +108,9 @@
     Full,
     /// Every leader that could be used asked for a pause; the first ends after this time.
     Paused(Duration),
+    /// Every leader that could be used has reached the limit that it named; one takes a
+    /// request after this time.
+    Limited(Duration),
     /// No leader of the model can be used.
     Unavailable,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod health;
 mod leader_choice;
 mod membership;
+mod named_limits;
 mod orders;
 mod pauses;
 mod plain;
@@ -41,6 +42,7 @@
     MembershipSettings, News, Outgoing, OwnNews, Recipient, RelayChoice, Report, Role, Scope,
     Sender, SlowLeader, Suspicion, entries_hash,
 };
+pub use named_limits::{Allowance, NamedLimit, NamedLimits, holder_count};
 pub use orders::{Order, OrderAnswer, OrderKind};
 pub use pauses::{MAX_PAUSE, Pauses};
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -12,6 +12,7 @@
 //! message that is older than the last one of its sender changes nothing.
 
 mod digests;
+mod holders;
 mod hubs;
 mod loads;
 mod messages;
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -2,6 +2,7 @@
 
 use super::loads::EndpointLoad;
 use crate::Name;
+use crate::named_limits::{MAX_ANNOUNCED, NamedLimit};
 use crate::quarantine::{Aged, Answer, CrashReport};
 
 /// Maximum number of loads in one message; the endpoints with the most requests are kept.
@@ -120,6 +121,8 @@
     pub answers: Vec<Aged<Answer>>,
     /// Endpoints that have said that they leave.
     pub departures: Vec<Departure>,
+    /// Limits that endpoints name.
+    pub limits: Vec<Aged<NamedLimit>>,
 }
 
 impl News {
@@ -136,6 +139,7 @@
         self.crashes.truncate(MAX_OBSERVATIONS);
         self.answers.truncate(MAX_OBSERVATIONS);
         self.departures.truncate(MAX_OBSERVATIONS);
+        self.limits.truncate(MAX_ANNOUNCED);
     }
 }
 
--- a/crates/fleet/src/membership/registry.rs
+++ b/crates/fleet/src/membership/registry.rs
@@ -40,6 +40,15 @@
     }
 }
 
+/// Returns where a key belongs on the ring. Keys are hashes of names, but of similar ones.
+fn ring_hash(key: u32) -> u32 {
+    // The last step of MurmurHash3, which spreads every bit of the key.
+    let mut hash = key;
+    hash = (hash ^ (hash >> 16)).wrapping_mul(0x85eb_ca6b);
+    hash = (hash ^ (hash >> 13)).wrapping_mul(0xc2b2_ae35);
+    hash ^ (hash >> 16)
+}
+
 /// The registered entries, including this one.
 #[derive(Debug)]
 pub(super) struct Registry {
@@ -50,6 +59,8 @@
     by_data_centre: BTreeMap<Name, Vec<u32>>,
     /// All keys in the same order, such that entries in a row are in different data centres.
     ranked: Vec<u32>,
+    /// Hashes of all keys with the keys, in the order of the hashes.
+    ring: Vec<(u32, u32)>,
     is_outdated: bool,
 }
 
@@ -61,6 +72,7 @@
             entries: HashMap::from([(own_key, (own, now))]),
             by_data_centre: BTreeMap::new(),
             ranked: Vec::new(),
+            ring: Vec::new(),
             is_outdated: true,
         };
         registry.refresh();
@@ -101,6 +113,18 @@
         places
             .sort_unstable_by_key(|(k, place)| (Reverse(self.entries[k].0.cpu_milli), *place, *k));
         self.ranked = places.into_iter().map(|(key, _)| key).collect();
+        let ring = self.entries.keys().map(|key| (ring_hash(*key), *key));
+        self.ring = ring.collect();
+        self.ring.sort_unstable();
+    }
+
+    /// Returns all keys in the order of the ring, from where the hash of `key` belongs.
+    pub(super) fn ring_from(&self, key: u32) -> impl Iterator<Item = u32> {
+        let start = self
+            .ring
+            .partition_point(|(hash, _)| *hash < ring_hash(key));
+        let (before, after) = self.ring.split_at(start);
+        after.iter().chain(before).map(|(_, key)| *key)
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/fleet/src/plain.rs
+++ b/crates/fleet/src/plain.rs
@@ -33,6 +33,9 @@
     Endpoint(Name),
     /// Every endpoint that could be used asked for a pause; the first ends after this time.
     Paused(Duration),
+    /// Every endpoint that could be used has reached the limit that it named; one takes a
+    /// call after this time.
+    Limited(Duration),
     /// No endpoint can be used.
     Unavailable,
 }
