Read past odd objects of other writers, and bound every number that they choose

Cause: lists and changes were decoded as a whole, and numbers went into Duration unchecked. Class: the number of another writer in arithmetic that panics, and one object that decides over its list. Change: objects are decoded one by one. Of one that can't be read only the name counts, so that an endpoint whose record became odd is no longer used; the others hold. Sums of weights and of prompt tokens can't overflow. Odd objects are counted; a line is logged in 2 s at most.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -102,6 +102,31 @@
     pub body: Bytes,
 }
 
+/// Objects in an answer of the store that can't be read. Any writer may leave such objects,
+/// and they must not keep the others from being read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OddObjects {
+    /// Their number.
+    pub count: usize,
+    /// Name, if it can be read, and what is wrong with the first of them.
+    pub first: Option<(Option<String>, String)>,
+}
+
+impl OddObjects {
+    /// Adds an object.
+    pub fn add(&mut self, name: Option<&str>, cause: String) {
+        self.count += 1;
+        self.first
+            .get_or_insert_with(|| (name.map(str::to_owned), cause));
+    }
+
+    /// Adds those of another answer.
+    pub(crate) fn extend(&mut self, other: Self) {
+        self.count += other.count;
+        self.first = self.first.take().or(other.first);
+    }
+}
+
 /// One page of a list.
 #[derive(Clone, Debug)]
 pub struct Page {
@@ -111,6 +136,9 @@
     pub more: bool,
     /// Revision of the store that the list shows.
     pub revision: u64,
+    /// Objects that can't be read. Those whose names can are also in `objects`, without a
+    /// body.
+    pub odd: OddObjects,
 }
 
 /// A change that a watch returned.
@@ -139,6 +167,19 @@
     pub changes: Vec<Change>,
     /// Revision from which to continue the watch.
     pub revision: u64,
+    /// Objects that can't be read, as in [`Page::odd`].
+    pub odd: OddObjects,
+}
+
+impl Changes {
+    /// Returns changes that could all be read.
+    pub(crate) fn new(changes: Vec<Change>, revision: u64) -> Self {
+        Self {
+            changes,
+            revision,
+            odd: OddObjects::default(),
+        }
+    }
 }
 
 /// An endpoint's report of its load and speed.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod connection;
 mod control;
+mod cursor;
 mod dialect;
 mod directory;
 mod events;
@@ -39,7 +40,7 @@
 
 pub use dialect::{
     Change, Changes, Consistency, DecodeError, Dialect, HeaderNames, LoadReport, LocalCall,
-    ObjectKind, Page, StoredObject,
+    ObjectKind, OddObjects, Page, StoredObject,
 };
 pub use logging::logger;
 pub use run::{StartError, run};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,6 +43,7 @@
     probes: Counter<u64>,
     store_calls: Counter<u64>,
     relay_failures: Counter<u64>,
+    odd_objects: Counter<u64>,
     bytes: Counter<u64>,
     bad_datagrams: Counter<u64>,
     first_part: Histogram<f64>,
@@ -108,6 +109,10 @@
                 "bulrushhoist_relay_failures",
                 "Fetches from relays that brought nothing, by kind of object and cause",
             ),
+            odd_objects: counter(
+                "bulrushhoist_odd_objects",
+                "Objects of the store that could not be used, by kind",
+            ),
             bytes: counter(
                 "bulrushhoist_bytes",
                 "Bytes to other entries, and to and from endpoints in other data centres, by cause",
@@ -208,6 +213,11 @@
         self.relay_failures.add(1, &labels);
     }
 
+    pub(crate) fn on_odd_objects(&self, kind: ObjectKind, count: usize) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.odd_objects.add(count as u64, &[kind]);
+    }
+
     pub(crate) fn on_bytes(&self, cause: ByteCause, bytes: usize) {
         let cause = KeyValue::new("cause", cause.to_string());
         self.bytes.add(bytes as u64, &[cause]);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,6 +25,8 @@
 
 /// Slowdown from which on a leader is reported to the other entries as slow.
 const MIN_REPORTED_SLOWDOWN: f64 = 1.3;
+/// Minimum time between two log lines about objects of the store that can't be used.
+const ODD_OBJECT_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which a suspicion is included in the messages to the other entries.
 const SUSPICION_REPORT_TIME: Duration = Duration::from_millis(1_500);
 
@@ -51,6 +53,8 @@
     pub(crate) planner_wake: Notify,
     /// Wakes the calls that wait when something is quarantined.
     pub(crate) quarantine_changed: Notify,
+    /// When an object of the store that can't be used was last logged.
+    pub(crate) odd_object_logged: Cell<Option<Time>>,
     /// When a notice that isn't usable was last logged.
     pub(crate) bad_notice_logged: Cell<Option<Time>>,
 }
@@ -87,6 +91,7 @@
             relay: Relay::default(),
             planner_wake: Notify::new(),
             quarantine_changed: Notify::new(),
+            odd_object_logged: Cell::new(None),
             bad_notice_logged: Cell::new(None),
         }
     }
@@ -100,6 +105,17 @@
         age_limits(kind, self.bounds.get().change)
     }
 
+    /// Returns whether a line about an object that can't be used may be logged.
+    pub(crate) fn may_log_odd_object(&self) -> bool {
+        let now = self.now();
+        let last = self.odd_object_logged.get();
+        let due = last.is_none_or(|t| now.since(t) >= ODD_OBJECT_LOG_INTERVAL);
+        if due {
+            self.odd_object_logged.set(Some(now));
+        }
+        due
+    }
+
     /// Returns every metric as text, with the ages of the copies at this moment.
     pub(crate) fn export_metrics(&self) -> Result<Vec<u8>, prometheus::Error> {
         let now = self.now();
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -1,6 +1,7 @@
 //! Applies the objects of the store to this entry's state.
 
 use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use slog::{info, warn};
 
 use crate::clock::unix_millis;
-use crate::dialect::{Change, ObjectKind, StoredObject};
+use crate::dialect::{Change, ObjectKind, OddObjects, StoredObject};
 use crate::node::Node;
 use crate::store::StoreError;
 
@@ -34,6 +35,26 @@
     cpu_milli: u32,
 }
 
+/// Counts the objects of an answer that can't be read, and logs the first of them.
+pub(crate) fn report_odd(node: &Node, kind: ObjectKind, odd: &OddObjects) {
+    let Some((name, cause)) = &odd.first else {
+        return;
+    };
+    node.metrics.on_odd_objects(kind, odd.count);
+    if node.may_log_odd_object() {
+        warn!(node.log, "object not readable"; "kind" => %kind, "name" => name, "count" => odd.count, "cause" => cause);
+    }
+}
+
+/// Counts an object whose body isn't usable, and logs it within limits: its writer may
+/// write it again and again.
+fn report_unusable(node: &Node, kind: ObjectKind, object: &StoredObject, cause: &dyn Display) {
+    node.metrics.on_odd_objects(kind, 1);
+    if node.may_log_odd_object() {
+        warn!(node.log, "object not usable"; "kind" => %kind, "name" => &object.name, "revision" => object.revision, "cause" => %cause);
+    }
+}
+
 /// Applies a complete list. Endpoints and evacuations that it does not name are removed.
 pub(crate) fn apply_list(node: &Node, kind: ObjectKind, objects: Vec<StoredObject>) {
     let names: BTreeSet<Name> = objects.iter().map(|o| o.name.as_str().into()).collect();
@@ -114,7 +135,7 @@
     let endpoint = match decoded {
         Ok(endpoint) => endpoint,
         Err(error) => {
-            warn!(node.log, "endpoint record not usable"; "endpoint" => &object.name, "revision" => object.revision, "cause" => %error);
+            report_unusable(node, ObjectKind::Endpoints, object, &error);
             let now = node.now();
             if node.state.borrow_mut().roster.remove(now, &object.name) {
                 forget_endpoint(node, &object.name);
@@ -196,7 +217,7 @@
             node.state.borrow_mut().peers.register(now, entry);
         }
         Err(error) => {
-            warn!(node.log, "entry record not usable"; "entry" => &object.name, "cause" => %error);
+            report_unusable(node, ObjectKind::Entries, object, &error);
         }
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -425,7 +425,7 @@
             load.last_active = now;
         }
         load.requests += 1;
-        load.prefill_tokens += prefill_tokens;
+        load.prefill_tokens = load.prefill_tokens.saturating_add(prefill_tokens);
         self.cold.entry(id.clone()).or_default().on_sent(now);
     }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -14,7 +14,9 @@
 use hyper::{Method, Request, StatusCode};
 
 use crate::connection::{Connection, ConnectionError};
-use crate::dialect::{Changes, Consistency, DecodeError, Dialect, ObjectKind, Page, StoredObject};
+use crate::dialect::{
+    Changes, Consistency, DecodeError, Dialect, ObjectKind, OddObjects, Page, StoredObject,
+};
 
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -66,6 +68,14 @@
     Decode(DecodeError),
 }
 
+/// Every object of a kind.
+pub(crate) struct Listed {
+    pub(crate) objects: Vec<StoredObject>,
+    /// Revision from which to watch.
+    pub(crate) revision: u64,
+    pub(crate) odd: OddObjects,
+}
+
 /// A client of the store. It keeps one idle connection for calls; each watch has a
 /// connection of its own, which its caller holds.
 pub(crate) struct StoreClient {
@@ -124,14 +134,14 @@
         request
     }
 
-    /// Lists every object of a kind, page by page. Returns the objects and the revision
-    /// from which to watch.
+    /// Lists every object of a kind, page by page.
     pub(crate) async fn list(
         &self,
         kind: ObjectKind,
         consistency: Consistency,
-    ) -> Result<(Vec<StoredObject>, u64), StoreError> {
+    ) -> Result<Listed, StoreError> {
         let mut objects: Vec<StoredObject> = Vec::new();
+        let mut odd = OddObjects::default();
         let mut revision = None;
         loop {
             let after = objects.last().map(|o| o.name.as_str());
@@ -145,8 +155,13 @@
             let first = *revision.get_or_insert(page.revision);
             let empty = page.objects.is_empty();
             objects.extend(page.objects);
+            odd.extend(page.odd);
             if !page.more || empty {
-                return Ok((objects, first));
+                return Ok(Listed {
+                    objects,
+                    revision: first,
+                    odd,
+                });
             }
         }
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -16,10 +16,11 @@
 use slog::{debug, info, warn};
 
 use crate::connection::{Connection, ConnectionError};
+use crate::cursor::Cursor;
 use crate::dialect::{Change, Changes, Consistency, ObjectKind, StoredObject};
 use crate::node::Node;
 use crate::peers;
-use crate::records::{apply_change, apply_list};
+use crate::records::{apply_change, apply_list, report_odd};
 use crate::relay::{self, Origin, RelayError, RelayQuery, RelayUpdate, Relayed};
 use crate::store::StoreError;
 
@@ -72,28 +73,6 @@
     Nothing,
 }
 
-/// How far a kind of objects is known.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Cursor {
-    /// Revision from which to continue; `None` if the kind must be listed.
-    revision: Option<u64>,
-    /// Highest revision that was applied.
-    applied: u64,
-}
-
-impl Cursor {
-    /// Returns whether an answer of this revision is at least as new as all that was
-    /// applied, also if the kind must be listed again: a relay may be behind.
-    const fn accepts(self, revision: u64) -> bool {
-        revision >= self.applied
-    }
-
-    fn advance(&mut self, revision: u64) {
-        self.applied = self.applied.max(revision);
-        self.revision = Some(self.applied);
-    }
-}
-
 /// The state of following one kind of objects.
 struct Follower {
     node: Rc<Node>,
@@ -326,7 +305,7 @@
                     let objects = changes.into_iter().filter_map(Change::into_put);
                     self.replace(objects.collect(), revision, origin);
                 } else {
-                    self.apply(Changes { changes, revision }, origin);
+                    self.apply(Changes::new(changes, revision), origin);
                 }
                 if any && role == Role::Follower && self.kind == ObjectKind::Endpoints {
                     tokio::time::sleep(FOLLOWER_BATCH_PAUSE).await;
@@ -432,9 +411,10 @@
                 true => Consistency::Latest,
                 false => Consistency::Stale,
             };
-            let (objects, revision) = node.store.list(self.kind, consistency).await?;
+            let listed = node.store.list(self.kind, consistency).await?;
+            report_odd(node, self.kind, &listed.odd);
             self.on_store_answer("list");
-            self.replace(objects, revision, self.store_origin());
+            self.replace(listed.objects, listed.revision, self.store_origin());
             return Ok(());
         };
         let connection = &mut self.connection;
@@ -443,6 +423,7 @@
             .watch(connection, self.kind, revision, wait, margin);
         match watch.await {
             Ok(changes) => {
+                report_odd(&self.node, self.kind, &changes.odd);
                 self.on_store_answer("watch");
                 self.apply(changes, self.store_origin());
                 Ok(())
@@ -506,7 +487,3 @@
         state.roster.on_store_back(now);
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/sync.rs"]
-mod tests;
--- a/crates/entry/tests/unit/relay.rs
+++ b/crates/entry/tests/unit/relay.rs
@@ -91,31 +91,17 @@
     for revision in 11..500 {
         let body = revision.to_string();
         let changes = vec![Change::Put(object("a", &body))];
-        relay.extend(KIND, &Changes { changes, revision }, at(0));
+        relay.extend(KIND, &Changes::new(changes, revision), at(0));
     }
     assert_eq!(changes(&relay, ms(0), Some(10)), ["a=499"]);
     assert!(changes(&relay, ms(0), Some(499)).is_empty());
     let removed = vec![Change::Removed("b".to_owned())];
     let revision = 500;
-    relay.extend(
-        KIND,
-        &Changes {
-            changes: removed,
-            revision,
-        },
-        at(0),
-    );
+    relay.extend(KIND, &Changes::new(removed, revision), at(0));
     assert_eq!(changes(&relay, ms(0), Some(499)), ["-b"]);
     let back = vec![Change::Put(object("b", "2"))];
     let revision = 501;
-    relay.extend(
-        KIND,
-        &Changes {
-            changes: back,
-            revision,
-        },
-        at(0),
-    );
+    relay.extend(KIND, &Changes::new(back, revision), at(0));
     assert_eq!(changes(&relay, ms(0), Some(499)), ["b=2"]);
 }
 
@@ -125,7 +111,7 @@
     let relay = relay();
     for revision in 11..=(11 + MAX_CACHED_REMOVALS as u64) {
         let changes = vec![Change::Removed(format!("gone-{revision}"))];
-        relay.extend(KIND, &Changes { changes, revision }, at(0));
+        relay.extend(KIND, &Changes::new(changes, revision), at(0));
     }
     assert_eq!(changes(&relay, ms(0), Some(10)), ["history gone"]);
     assert_eq!(changes(&relay, ms(0), None), ["a=1", "b=1"]);
@@ -136,10 +122,7 @@
 #[test]
 fn a_copy_is_stale_by_the_age_of_the_stores_answer() {
     let relay = relay();
-    let nothing = || Changes {
-        changes: Vec::new(),
-        revision: 10,
-    };
+    let nothing = || Changes::new(Vec::new(), 10);
     relay.extend(KIND, &nothing(), at(1_000));
     assert!(changes(&relay, ms(3_200), Some(10)).is_empty());
     // The relay that this one follows answered just now, with a copy that is as old.
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -75,8 +75,8 @@
     /// Returns a target's service, chosen by weight, for a random draw between 0 and 1.
     #[must_use]
     pub fn pick_service(&self, draw: f64) -> Option<&Name> {
-        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
-        let mut remaining = draw.clamp(0.0, 1.0) * f64::from(total);
+        let total: f64 = self.targets.iter().map(|t| f64::from(t.weight)).sum();
+        let mut remaining = draw.clamp(0.0, 1.0) * total;
         for target in self.targets.iter().filter(|t| t.weight > 0) {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -62,11 +62,22 @@
     }
 }
 
+/// Longest time that is expected of anything. Figures of a configuration may be of any size.
+const MAX_EXPECTED: Duration = Duration::from_secs(24 * 3_600);
+
+/// Returns a number of seconds as a time, at most [`MAX_EXPECTED`].
+fn bounded_seconds(seconds: f64) -> Duration {
+    match seconds.is_nan() {
+        true => Duration::ZERO,
+        false => Duration::from_secs_f64(seconds.clamp(0.0, MAX_EXPECTED.as_secs_f64())),
+    }
+}
+
 /// Returns the time of one decode step with this many requests that produce tokens.
 #[must_use]
 pub fn step_time(engine: &Engine, time_factor: f64, decoding: f64) -> Duration {
     let ms = (engine.step_ms + engine.per_seq_ms * decoding) * time_factor;
-    Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
+    bounded_seconds(ms / 1_000.0)
 }
 
 /// Returns the expected time to the first token of one more request on a leader.
@@ -78,7 +89,7 @@
     let tokens = batch.prefill_tokens + f64::from(work.prompt_tokens);
     let attention_ms = f64::from(work.prompt_tokens).powi(2) / 2.0 / 1e6 * engine.attention_ms;
     let prefill_ms = tokens / engine.prefill_per_s.max(1.0) * 1_000.0 + attention_ms;
-    let prefill = Duration::from_secs_f64(prefill_ms * time_factor / 1_000.0);
+    let prefill = bounded_seconds(prefill_ms * time_factor / 1_000.0);
     let decoding = batch.requests.min(f64::from(engine.slots));
     let pass = step_time(engine, time_factor, decoding) * engine.stride.max(1);
     prefill + pass
@@ -92,5 +103,5 @@
 pub fn max_event_gap(engine: &Engine, time_factor: f64) -> Duration {
     let step = step_time(engine, time_factor, f64::from(engine.slots));
     let chunk_s = f64::from(engine.prefill_chunk) / engine.prefill_per_s.max(1.0) * time_factor;
-    (step + Duration::from_secs_f64(chunk_s)) * engine.stride.max(1)
+    (step + bounded_seconds(chunk_s)) * engine.stride.max(1)
 }
