Derive every time of a planned stop from the grace period

Cause: three constants for one schedule. The exit was computed from the full time for which connections are kept, also where half of a short grace period replaced it, and the check of late requests assumed another exit. Besides, the exit waited for all but four receivers, which is one connection too few where a listener is shared or missing. Change: StopPlan in crates/fleet gives all times as parts of the grace period; a late request is taken only if it ends 0.1 s before the exit. The listeners that stay are counted.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,7 +9,7 @@
 use bulrushhoist_core::{Time, stable_hash};
 use bulrushhoist_fleet::{
     AgeLimits, Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership,
-    MembershipSettings, Name, SlowLeader, Suspicion, Work, name_key,
+    MembershipSettings, Name, SlowLeader, StopPlan, Suspicion, Work, name_key,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -30,12 +30,6 @@
 /// Time for which a suspicion is included in the messages to the other entries.
 const SUSPICION_REPORT_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time after the signal to stop during which every request is still accepted.
-const FULL_SERVICE_TIME: Duration = Duration::from_millis(2_900);
-/// Time before the end of the grace period at which the process exits, so that it is not
-/// killed.
-pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(700);
-
 /// The settings, state, clients and connections of one entry.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -140,8 +134,8 @@
         let Phase::Leaving { since } = self.state.borrow().phase else {
             return false;
         };
-        let stop = since + self.bounds.get().grace;
-        self.now().since(since) >= FULL_SERVICE_TIME && end + EXIT_MARGIN > stop
+        let plan = StopPlan::within(self.bounds.get().grace);
+        !plan.takes(self.now().since(since), end.since(since))
     }
 
     /// Suspects an endpoint after a request failed or stalled there.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bulrushhoist_fleet::StopPlan;
 use derive_more::{Display, From};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
@@ -12,7 +13,7 @@
 
 use crate::dialect::{Dialect, ObjectKind};
 use crate::metrics::Metrics;
-use crate::node::{EXIT_MARGIN, Node};
+use crate::node::Node;
 use crate::peers::{self, PeerSocket};
 use crate::serve::{self, ListenerRole, StopPhase};
 use crate::settings::{ReadSettings, Settings};
@@ -23,17 +24,9 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the shares of limits are set anew.
 const LIMIT_REFRESH_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the signal to stop during which connections stay open, because callers with
-/// an older directory answer still use them.
-const CONNECTION_KEEP_TIME: Duration = Duration::from_millis(3_500);
-
 /// Number of messages that announce a stop to the peers, since datagrams may be lost.
 const STOP_MESSAGES: usize = 3;
 
-/// Listeners that stay open until the process ends. Each holds a receiver of the stop
-/// phase, as every open connection does.
-const LISTENERS_OPEN_AT_END: usize = 4;
-
 /// Why the process could not start.
 #[derive(Debug, Display, From)]
 pub enum StartError {
@@ -81,6 +74,8 @@
     if listen.directory != listen.readiness {
         local_addresses.push(listen.directory);
     }
+    // Each of these stays open until the process ends, and holds a receiver of the stop phase.
+    let mut other_listeners = local_addresses.len() + 1;
     for address in local_addresses {
         let listener = serve::listen(address)?;
         spawn_local(serve::accept(
@@ -92,6 +87,7 @@
     }
     match serve::listen(listen.metrics) {
         Ok(listener) => {
+            other_listeners += 1;
             let serving = serve::accept(
                 node.clone(),
                 listener,
@@ -137,18 +133,17 @@
     for _ in 0..STOP_MESSAGES {
         socket.publish(&node);
     }
-    tokio::time::sleep(CONNECTION_KEEP_TIME.min(grace / 2)).await;
+    let plan = StopPlan::within(grace);
+    tokio::time::sleep_until(node.clock.instant(since + plan.close)).await;
     // Fails only if no connection is open.
     let _ = stop.send(StopPhase::Finishing);
-    let end =
-        tokio::time::Instant::now() + grace.saturating_sub(CONNECTION_KEEP_TIME + EXIT_MARGIN);
-    let accept_until = end - grace.mul_f64(0.15).min(Duration::from_secs(1));
-    tokio::time::sleep_until(accept_until).await;
+    tokio::time::sleep_until(node.clock.instant(since + plan.last_accept)).await;
     accepting.abort();
-    while stop.receiver_count() > LISTENERS_OPEN_AT_END && tokio::time::Instant::now() < end {
+    let open = || stop.receiver_count().saturating_sub(other_listeners);
+    while open() > 0 && node.now() < since + plan.exit {
         tokio::time::sleep(SWEEP_INTERVAL).await;
     }
-    let cut_off = stop.receiver_count().saturating_sub(LISTENERS_OPEN_AT_END);
+    let cut_off = open();
     info!(node.log, "stopped"; "cut_off" => cut_off);
     Ok(())
 }
