Renew a copy's age only once the answer is applied, and set one share at a time

Found by reading. A relay's answer whose omitted object could not be read renewed the age although it wasn't applied, so the entry would not have asked the store at the bound. Each limit that another entry reported set the shares of all limits and advanced all queues: quadratic with hundreds of limited leaders. Tests of limits, named_limits and silent_store pass.

--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -144,11 +144,10 @@
     fn on_limit_changed(&self, said: &NamedLimit, source: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        state.refresh_limits(now);
+        state.refresh_limit(now, &said.endpoint);
         let share = state.limits.share(&said.endpoint, said.incarnation);
         drop(state);
         info!(self.log, "endpoint's limit changed"; "endpoint" => &*said.endpoint, "born" => said.incarnation, "per_s" => said.per_s, "share" => share, "source" => source);
-        self.advance_queues();
     }
 
     /// Returns whether a line about an unusable notice may be logged: a faulty endpoint may
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -396,6 +396,13 @@
         }
     }
 
+    /// Sets this entry's share of one endpoint's limit.
+    pub(crate) fn refresh_limit(&mut self, now: Time, id: &str) {
+        let peers = &self.peers;
+        let holds = |count| peers.rate_holders(now, name_key(id), count);
+        self.limits.set_share(now, id, holds);
+    }
+
     /// Sets this entry's shares of the limits by the entries that are alive now.
     pub(crate) fn refresh_limits(&mut self, now: Time) {
         let peers = &self.peers;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -151,13 +151,13 @@
     fn choose_source(&mut self) -> Source {
         let now = self.node.now();
         self.avoided.retain(|(_, until)| now < *until);
-        // The first list of the entries' addresses must come from the store: without the
-        // addresses no relay can be reached.
         let may_call = self.age.may_call(now);
         let store = match may_call {
             true => Source::Store,
             false => Source::Wait,
         };
+        // The first list of the entries' addresses must come from the store: without the
+        // addresses no relay can be reached.
         if self.kind == ObjectKind::Entries && !self.listed {
             return store;
         }
@@ -290,7 +290,6 @@
                     relay: Some(name),
                 };
                 let revision = relayed.revision;
-                self.age.on_answer(origin.answered_at);
                 let changes = match self.read_omitted(relayed).await {
                     Ok(changes) => changes,
                     Err(error) => {
@@ -301,6 +300,7 @@
                     }
                 };
                 let any = !changes.is_empty();
+                self.age.on_answer(origin.answered_at);
                 if self.cursor.revision.is_none() {
                     let objects = changes.into_iter().filter_map(Change::into_put);
                     self.replace(objects.collect(), revision, origin);
--- a/crates/fleet/src/named_limits.rs
+++ b/crates/fleet/src/named_limits.rs
@@ -101,6 +101,15 @@
         self.tokens = self.tokens(now);
         self.refilled = now;
     }
+
+    fn set_share(&mut self, now: Time, holds: impl Fn(usize) -> Option<usize>) {
+        self.refill(now);
+        let Some(per_s) = self.per_s else {
+            return;
+        };
+        let holders = holds(holder_count(per_s));
+        self.share = holders.map_or(0.0, |n| per_s / n.max(1) as f64);
+    }
 }
 
 /// The limits of every endpoint that names one.
@@ -180,17 +189,19 @@
         true
     }
 
-    /// Forgets old limits and sets this entry's share of each. `holds` says whether this entry
-    /// is among the given number of holders of an endpoint, and how many there are.
+    /// Forgets old limits and sets this entry's share of each, see [`Self::set_share`].
     pub fn refresh(&mut self, now: Time, holds: impl Fn(&Name, usize) -> Option<usize>) {
         self.limits.retain(|_, l| now.since(l.observed) < LIMIT_TTL);
         for (endpoint, limit) in &mut self.limits {
-            limit.refill(now);
-            let Some(per_s) = limit.per_s else {
-                continue;
-            };
-            let holders = holds(endpoint, holder_count(per_s));
-            limit.share = holders.map_or(0.0, |n| per_s / n.max(1) as f64);
+            limit.set_share(now, |count| holds(endpoint, count));
+        }
+    }
+
+    /// Sets this entry's share of an endpoint's limit. `holds` returns, for the number of
+    /// holders that there should be, how many there are if this entry is one of them.
+    pub fn set_share(&mut self, now: Time, id: &str, holds: impl Fn(usize) -> Option<usize>) {
+        if let Some(limit) = self.limits.get_mut(id) {
+            limit.set_share(now, holds);
         }
     }
 
