--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use bulrushhoist_fleet::{Endpoint, GroupState, Name, Roster, RosterChange};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, prop_assert, prop_oneof, proptest};
 use support::{endpoint, member, ms};
 
 fn roster() -> Roster {
@@ -108,3 +111,69 @@
         "a late notice of an earlier one"
     );
 }
+
+/// What may happen to the endpoint of a number, as this entry hears of it.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Its record, or a stale one, with an incarnation.
+    Record(usize, u64),
+    /// An answer, or another entry, says that an incarnation leaves.
+    Leaves(usize, u64),
+    Removed(usize),
+    /// A list without any endpoint.
+    EmptyList,
+    StoreLost,
+    StoreBack,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..2_usize, 1..5_u64).prop_map(|(n, i)| Event::Record(n, i)),
+        2 => (0..2_usize, 1..5_u64).prop_map(|(n, i)| Event::Leaves(n, i)),
+        1 => (0..2_usize).prop_map(Event::Removed),
+        1 => Just(Event::EmptyList),
+        1 => Just(Event::StoreLost),
+        1 => Just(Event::StoreBack),
+    ]
+}
+
+proptest! {
+    /// Guards against any series of answers, restarts, stale records and outages after which an
+    /// incarnation that has said that it leaves gets work.
+    #[test]
+    fn a_series_of_records_brings_a_leaving_incarnation_back(
+        series in vec((event(), 0..3_000_u64), 1..60)
+    ) {
+        let ids: [Name; 2] = ["vm-1".into(), "vm-2".into()];
+        let mut roster = Roster::default();
+        let mut left: BTreeMap<Name, u64> = BTreeMap::new();
+        let mut now = ms(0);
+        for (event, pause_ms) in series {
+            now = now + Duration::from_millis(pause_ms);
+            match event {
+                Event::Record(n, incarnation) => {
+                    let record = Endpoint { incarnation, ..endpoint(&ids[n], "d1") };
+                    roster.put(record);
+                }
+                Event::Leaves(n, incarnation) => {
+                    roster.set_leaving(&ids[n], incarnation);
+                    let last = left.entry(ids[n].clone()).or_default();
+                    *last = incarnation.max(*last);
+                }
+                Event::Removed(n) => {
+                    roster.remove(now, &ids[n]);
+                }
+                Event::EmptyList => {
+                    roster.retain(now, &BTreeSet::new());
+                }
+                Event::StoreLost => roster.on_store_lost(),
+                Event::StoreBack => roster.on_store_back(now),
+            }
+            roster.apply_removals(now);
+            for endpoint in roster.of_service("engines") {
+                let gone = left.get(&endpoint.id).is_some_and(|l| endpoint.incarnation <= *l);
+                prop_assert!(!gone, "{} {}", endpoint.id, endpoint.incarnation);
+            }
+        }
+    }
+}
