--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -27,6 +27,8 @@
 HISTORY_S = 20
 # Longer than any case.
 LONG_S = 600
+# Requests that a head runs at once.
+SLOTS = 8
 EVENTS = 20
 EVENT_PAUSE_S = 0.05
 # Time that a request of the plain service takes.
@@ -271,7 +273,7 @@
             "Address": "%s:%d" % self.address,
             "Zone": self.zone,
             "Version": "v1",
-            "Slots": 8,
+            "Slots": SLOTS,
             "State": self.state,
             "ColdRemainingMs": 0,
             "Sequence": self.sequence,
@@ -371,17 +373,18 @@
         joined = [(m.group["Name"], m.group["epoch"]) for m in members if m.alive and m.group]
         return bool(own) and joined == [(own["Name"], own["epoch"])] * len(members)
 
-    async def wait_complete(self):
-        """Stands still while a member is missing, and is broken after StallMs."""
+    async def wait_complete(self, own):
+        """Stands still while a member is missing, and is broken after StallMs. Returns whether
+        the replica is still the head of the group that began the work."""
         end = time.monotonic() + STALL_S
-        while not self.is_complete():
-            if not self.group or time.monotonic() > end:
-                if self.group and self.group["State"] == "open":
-                    self.group["State"] = "broken"
-                    await self.register()
-                return False
+        while self.group is own and time.monotonic() < end:
+            if self.is_complete():
+                return True
             await asyncio.sleep(0.02)
-        return True
+        if self.group is own and own["State"] == "open":
+            own["State"] = "broken"
+            await self.register()
+        return False
 
     async def set_state(self, group, state, after_s, model=None):
         await asyncio.sleep(after_s)
@@ -393,6 +396,12 @@
         await self.register()
 
     async def run(self, message, request, writer):
+        if self.engine and not await self.wait_for_slot():
+            self.deployment.shed.append(request)
+            self.deployment.record.note(f"{self.name} sheds {request}, it hasn't run")
+            echo = {"X-Request-Id": request, "X-Not-Executed": "1"}
+            writer.write(answer(503, b"", echo))
+            return True
         self.deployment.on_run(self, request, message)
         if self.faults and (kept := await self.faults(self, message, request, writer)) is not None:
             return kept
@@ -407,13 +416,23 @@
         finally:
             self.active -= 1
 
+    async def wait_for_slot(self):
+        """Waits in the queue. Returns whether the request may begin: a head that is closing
+        begins nothing new."""
+        while self.group and self.group["State"] == "open":
+            if self.active < SLOTS:
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
     async def stream(self, message, request, writer, proof):
+        own = self.group
         first = int(message.get("last-event-id", "0")) + 1
         events = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(head(200, {**proof, **events}))
         for n in range(first, EVENTS + 1):
             await asyncio.sleep(EVENT_PAUSE_S)
-            if not await self.wait_complete():
+            if not await self.wait_complete(own):
                 return False
             event = event_text(request, n)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -512,7 +531,7 @@
                 "SessionAffinity": kind == "streaming"}
 
     model = {"Name": "large", "size": size, "pace": 1.0, "Share": 1.0, "LoadS": 0.2, "WarmS": 0.2}
-    engine = {"Slots": 8, "KvCapacity": 100000, "Stride": 5, "step_ms": 2.0, "per_seq_ms": 0.1,
+    engine = {"Slots": SLOTS, "KvCapacity": 100000, "Stride": 5, "step_ms": 2.0, "per_seq_ms": 0.1,
               "context_per_k": 0.005, "read_per_s": 46000.0, "pairs_per_m": 0.7, "chunk": 512,
               "LoadsPerS": 40.0, "loads_at_once": 6, "usual": {"prompt": 100, "answer": 60},
               "Keeps": 1, "far_x": 2.5, "FormMs": 50.0, "report_lag_ms": 200.0,
@@ -603,6 +622,8 @@
         self.store_address = (self.ip(5), 8223)
         self.store = Store()
         self.runs = {}
+        # Requests that a head shed from its queue.
+        self.shed = []
         # Joins that break the rule `TWO`.
         self.two = []
         # The machines by name, zone and share of a core, or so many like each other.
