Bound the body of a failure to a streaming call

Cause: for an answer to a streaming call that isn't a success, `try_leader` read the whole body with no limit on its size. Only the deadline ended it. Plain calls and events have limits and were not the cause.

Change: streams and plain calls read complete bodies by one function, `attempt::read_body`, with one limit (8 MB) and one report to health monitor and quarantine. A line `answer not usable` names the request, endpoint and cause, which neither path logged. A failure that stalls or passes the deadline while it is read now counts as that, not as a broken connection.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,10 +10,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use slog::warn;
+use slog::{info, warn};
 
 use crate::call::Call;
-use crate::connection::{Connection, ConnectionError};
+use crate::connection::{Connection, ConnectionError, collect};
 use crate::node::Node;
 use crate::outcome::RetryCause;
 use crate::pool::Reuse;
@@ -24,6 +24,8 @@
 /// Margin by which a connection is given up before the idle timeout that its endpoint
 /// announced, so that no request is sent as the endpoint closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Maximum size of an answer that is kept until it is complete.
+pub(crate) const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 /// Header in which an endpoint announces its idle timeout.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -236,6 +238,25 @@
     }
 }
 
+/// Reads the complete body of an answer, up to [`MAX_ANSWER_BYTES`].
+pub(crate) async fn read_body(
+    node: &Node,
+    call: &Call,
+    in_flight: &InFlight,
+    body: Incoming,
+) -> Result<Bytes, AttemptError> {
+    let endpoint = &in_flight.endpoint;
+    let read = collect(body, MAX_ANSWER_BYTES).await;
+    read.map_err(|error| {
+        info!(node.log, "answer not usable"; "request" => call.id_text(), "endpoint" => &*endpoint.id, "cause" => %error);
+        if let ConnectionError::Incomplete(cause) = &error {
+            node.on_disconnect(&endpoint.id, endpoint.incarnation, cause);
+            node.record_broken(call, endpoint, in_flight.phase());
+        }
+        AttemptError::MayHaveRun(RetryCause::Broken)
+    })
+}
+
 /// Builds the request for one endpoint from the caller's.
 fn build_request(
     node: &Node,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -11,13 +11,9 @@
 
 use crate::attempt::{self, AttemptError, InFlight, WaitPolicy};
 use crate::call::Call;
-use crate::connection::{ConnectionError, collect};
 use crate::node::Node;
 use crate::outcome::{Refusal, RetryCause};
-use crate::quarantine::AnswerPhase;
 
-/// Maximum size of an answer.
-const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 /// Share of the route's objective after which an attempt is given up if the call may then
 /// be sent to another endpoint.
 const ATTEMPT_TIME_SHARE: f64 = 0.7;
@@ -159,14 +155,7 @@
     let wait_policy = WaitPolicy::Deadline;
     let opened = attempt::send(node, call, in_flight, call.deadline, wait_policy, None).await?;
     let (parts, body) = opened.response.into_parts();
-    let body = collect(body, MAX_ANSWER_BYTES).await;
-    let body = body.map_err(|error| {
-        if let ConnectionError::Incomplete(cause) = error {
-            node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause);
-            node.record_broken(call, endpoint, AnswerPhase::Waiting);
-        }
-        AttemptError::MayHaveRun(RetryCause::Broken)
-    })?;
+    let body = attempt::read_body(node, call, in_flight, body).await?;
     node.on_call_bytes(endpoint, body.len());
     node.keep_connection(endpoint, opened.connection);
     Ok(PlainAnswer {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -209,22 +209,18 @@
     let (parts, mut body) = opened.response.into_parts();
     let connection = opened.connection;
     if !parts.status.is_success() {
-        let read = wait_for(node, endpoint, call.deadline, wait_policy, body.collect()).await;
-        let Ok(Ok(body)) = read else {
-            if let Ok(Err(_)) = read {
-                node.record_broken(call, endpoint, in_flight.phase());
-            }
-            return Err(AttemptError::MayHaveRun(RetryCause::Broken));
+        let reading = attempt::read_body(node, call, &in_flight, body);
+        let read = wait_for(node, endpoint, call.deadline, wait_policy, reading).await;
+        let body = match read {
+            Ok(read) => read?,
+            Err(WaitError::TimedOut) => return Err(AttemptError::TimedOut),
+            Err(WaitError::Stalled) => return Err(AttemptError::MayHaveRun(RetryCause::Silent)),
         };
         let retry = parts.status.is_server_error() && call.route.is_idempotent();
         if retry && progress.runs + 1 < call.route.max_attempts {
             return Err(AttemptError::MayHaveRun(RetryCause::Failed));
         }
-        return Ok(StreamStart::Complete(
-            parts,
-            body.to_bytes(),
-            endpoint.id.clone(),
-        ));
+        return Ok(StreamStart::Complete(parts, body, endpoint.id.clone()));
     }
     match next_events(node, call, &in_flight, &mut body, progress).await {
         Ok(Some(events)) => {
