Find the live entries of a data centre among dead records

Cause: the records of removed VMs stay registered, and each counts as a candidate for a hub. A follower without digests tries two for 1.2 s and leaves each out for 5 s, so it goes round the first ten for ever. It reaches no live one and never learns that it must be the hub itself; until then it isn't settled, and doesn't plan. Evidence: the membership simulation with most entries killed shows the same without the store or any group.

Change: an entry that gets no digests for 1.2 s reports to every registered entry of its data centre within 2 s, as many a tick as that takes. Whoever gets a report answers. If nobody does, the entry is alone and a hub. A new hub tries all entries of a silent data centre within 2 s, then within 20 s a round. One that found itself alone plans only after that, so that two such hubs don't plan at once.

Why it works: the time of a search doesn't depend on the number of records, and only an entry that hears nobody searches: with live hubs the first digest arrives before 1.2 s, so usual starts send no more than before.

Test before: the_entries_left_find_no_hub_among_dead_records, "65 entries, after most were removed: 24 (follower) errs on [edge-2-62, edge-1-58]".

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -19,6 +19,7 @@
 mod receive;
 mod registry;
 mod relays;
+mod search;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -38,6 +39,7 @@
 pub use registry::EntryInfo;
 use registry::Registry;
 pub use relays::RelayChoice;
+use search::Search;
 
 /// Intervals and limits of the exchange between entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -167,6 +169,10 @@
     settings: MembershipSettings,
     registry: Registry,
     role: Role,
+    /// When this entry took its role.
+    role_since: Time,
+    /// The search for live entries, while there are hubs and none sends digests.
+    search: Option<Search>,
     started: Time,
     ticks: u64,
     last_tick: Time,
@@ -197,6 +203,8 @@
             settings,
             registry: Registry::new(own, now),
             role: Role::Direct,
+            role_since: now,
+            search: None,
             started: now,
             ticks: 0,
             last_tick: now,
@@ -287,6 +295,7 @@
     pub fn tick(&mut self, now: Time) -> Outgoing {
         if now.since(self.last_tick) > self.tick_interval() * LATE_TICK_FACTOR {
             self.resumed = now;
+            self.search = None;
         }
         self.last_tick = now;
         self.ticks += 1;
@@ -298,12 +307,17 @@
             departed: self.newly_departed(),
             ..Outgoing::default()
         };
+        let searched = self.update_search(now);
         if self.role == Role::Direct {
             self.contacts.clear();
             outgoing.reports = self.registry.others().map(to_peer).collect();
         } else {
             self.update_contacts(now);
             outgoing.reports = self.reports_to_hubs();
+            let contacted = |a: &SocketAddr| outgoing.reports.iter().any(|r| r.address == *a);
+            let searched = searched.into_iter().filter(|a| !contacted(a));
+            let searched: Vec<Recipient> = searched.map(to_unheard).collect();
+            outgoing.reports.extend(searched);
         }
         outgoing.digests = self.due_digests();
         if self.role == Role::Hub && self.ticks.is_multiple_of(REDUCED_RATE_TICKS) {
@@ -409,7 +423,8 @@
     /// equals the one with the lowest name.
     #[must_use]
     pub fn may_plan(&self, now: Time, own: EntryStatus) -> bool {
-        let known = self.role == Role::Direct || self.is_settled(now);
+        let known =
+            self.role == Role::Direct || self.is_settled(now) && self.has_searched_others(now);
         let precedes = |(entry, status): (&EntryInfo, EntryStatus)| {
             let eligible = status.synced && status.ready;
             eligible
@@ -432,6 +447,14 @@
     pub news: News,
 }
 
+fn to_unheard(address: SocketAddr) -> Recipient {
+    Recipient {
+        address,
+        digests: DigestRate::Full,
+        known_entries: 0,
+    }
+}
+
 fn to_peer(entry: &EntryInfo) -> Recipient {
     Recipient {
         address: entry.peers,
--- a/crates/fleet/src/membership/hubs.rs
+++ b/crates/fleet/src/membership/hubs.rs
@@ -27,6 +27,7 @@
             Role::Follower
         };
         if self.role != old {
+            self.role_since = now;
             self.sum_summaries();
             self.find_live(now);
         }
@@ -64,13 +65,19 @@
         if self.unresponsive.contains_key(&key) {
             return false;
         }
-        if key == self.registry.own_key() || self.live.contains_key(&key) {
+        if key == self.registry.own_key() || self.is_heard(key) {
             return true;
         }
         let expected = self.registry.known_for(now, key) >= DISCOVERY_TIME;
         !(expected && self.sees_data_centre_of(now, key))
     }
 
+    /// Returns whether messages of an entry arrive here or at a hub.
+    fn is_heard(&self, key: u32) -> bool {
+        let direct = self.reports.contains_key(&key) || self.views.contains_key(&key);
+        direct || self.live.contains_key(&key)
+    }
+
     /// Returns whether this entry hears of the live entries in the data centre of another.
     fn sees_data_centre_of(&self, now: Time, key: u32) -> bool {
         let Some(entry) = self.registry.get(key) else {
@@ -78,7 +85,8 @@
         };
         match self.role {
             Role::Direct => true,
-            Role::Follower => self.best_view(now).is_some(),
+            Role::Follower if self.best_view(now).is_some() => true,
+            Role::Follower => entry.data_centre == *self.own_data_centre() && self.is_alone(now),
             Role::Hub if entry.data_centre == *self.own_data_centre() => {
                 now.since(self.started) >= DISCOVERY_TIME * 2
             }
@@ -98,8 +106,11 @@
         let own = self.registry.own_key();
         let ranked = self.registry.in_data_centre(self.own_data_centre());
         let others = || ranked.iter().copied().filter(|k| *k != own);
-        let available = others().filter(|k| self.is_available(now, *k));
-        let mut chosen: SmallVec<[u32; HUBS]> = available.take(HUBS).collect();
+        let mut available: Vec<u32> = others().filter(|k| self.is_available(now, *k)).collect();
+        if self.is_searching(now) {
+            available.sort_by_key(|k| !self.is_heard(*k));
+        }
+        let mut chosen: SmallVec<[u32; HUBS]> = available.into_iter().take(HUBS).collect();
         if chosen.is_empty() {
             // Without an answer from any entry of the data centre, they are tried in turn.
             let count = others().count().max(1);
@@ -149,11 +160,14 @@
         for data_centre in self.registry.data_centres().filter(|d| *d != own) {
             let ranked = self.registry.in_data_centre(data_centre);
             let available = ranked.iter().filter(|k| self.is_available(now, **k));
-            let mut hubs: SmallVec<[u32; 4]> = available.take(HUBS).copied().collect();
+            let available_hubs: SmallVec<[u32; HUBS]> = available.take(HUBS).copied().collect();
+            let mut hubs: SmallVec<[u32; 4]> = SmallVec::from_slice(&available_hubs);
             if self.best_summary(data_centre).is_none() {
-                let turn = self.ticks / REDUCED_RATE_TICKS;
-                let turn = turn as usize % ranked.len().max(1);
-                hubs.extend(ranked.get(turn).filter(|k| !hubs.contains(k)).copied());
+                let candidates = self.summary_candidates(now, ranked);
+                let more = candidates
+                    .into_iter()
+                    .filter(|k| !available_hubs.contains(k));
+                hubs.extend(more);
             }
             let entries = hubs.iter().filter_map(|k| self.registry.get(*k));
             addresses.extend(entries.map(|e| e.peers));
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -15,6 +15,8 @@
 const MAX_REMOTE_AGE_MS: u64 = 1_500;
 /// Longest time until the loss of an entry is known everywhere, in milliseconds.
 const MAX_LOSS_MS: u64 = 3_000;
+/// Longest time until the entries that are left find each other, in milliseconds.
+const MAX_SEARCH_MS: u64 = 10_000;
 /// Time in which a deployment settles after its start, in milliseconds.
 const SETTLE_MS: u64 = 4_000;
 
@@ -181,6 +183,45 @@
     }
 }
 
+/// Guards against entries that never find each other because most registered ones are dead:
+/// without hubs none plans groups or watches the store. The others may die while all run, or
+/// may be records of an earlier time.
+#[test]
+fn the_entries_left_find_no_hub_among_dead_records() {
+    for (entries, left, runs_before) in [
+        (65, 1, SETTLE_MS),
+        (65, 1, 0),
+        (65, 2, 0),
+        (300, 1, SETTLE_MS),
+        (300, 3, 0),
+        (1_400, 1, 0),
+        (1_400, 4, SETTLE_MS),
+    ] {
+        let mut deployment = Deployment::start(entries, 3, 0.01);
+        deployment.run(runs_before);
+        let mut lost: HashSet<usize> = (0..entries).collect();
+        for centre in 0..3 {
+            for entry in deployment.lowest_ranked(centre, left) {
+                lost.remove(&entry);
+            }
+        }
+        for entry in &lost {
+            deployment.inject(Fault::Kill(*entry));
+        }
+        deployment.run(MAX_SEARCH_MS);
+        deployment.assert_live(&lost, "after most were removed");
+        let alive = || (0..entries).filter(|e| !lost.contains(e));
+        let planners = alive().filter(|e| deployment.may_plan(*e)).count();
+        assert_eq!(planners, 1, "{left} of {entries}");
+        let watches = |e: &usize| deployment.relay_of(*e) == RelayChoice::Store;
+        let watchers = alive().filter(watches).count();
+        assert!(
+            (1..=3).contains(&watchers),
+            "{left} of {entries}: {watchers}"
+        );
+    }
+}
+
 /// Guards against shared limits that an entry exceeds because it hears nobody: it divides
 /// them by all registered entries.
 #[test]
--- a/crates/fleet/tests/membership/network.rs
+++ b/crates/fleet/tests/membership/network.rs
@@ -271,17 +271,26 @@
         all.filter(|e| self.entries[*e].centre == centre).collect()
     }
 
-    /// Returns the two entries that are the hubs of a data centre, if there are hubs.
-    pub(crate) fn hubs_of(&self, centre: usize) -> Vec<usize> {
+    /// Returns the entries of a data centre in the order of their ranks.
+    fn ranked(&self, centre: usize) -> Vec<usize> {
         let mut members = self.members_of(centre);
         members.sort_by_key(|e| {
             let info = &self.entries[*e].info;
             (Reverse(info.cpu_milli), name_key(&info.name))
         });
-        members.truncate(2);
         members
     }
 
+    /// Returns the two entries that are the hubs of a data centre, if there are hubs.
+    pub(crate) fn hubs_of(&self, centre: usize) -> Vec<usize> {
+        self.ranked(centre).into_iter().take(2).collect()
+    }
+
+    /// Returns the last entries of a data centre in the order of ranks.
+    pub(crate) fn lowest_ranked(&self, centre: usize, count: usize) -> Vec<usize> {
+        self.ranked(centre).into_iter().rev().take(count).collect()
+    }
+
     /// Asserts that every entry outside of `lost` takes exactly the others for alive.
     pub(crate) fn assert_live(&self, lost: &HashSet<usize>, when: &str) {
         let expected: HashSet<&str> = (0..self.entries.len())
