Choose watchers of the store among the entries that are heard

Where all entries of the other data centres are gone for good, nobody left watched the store: each followed dead entries, and got changes only when the age of its own copy made it ask the store itself.

Cause: an unheard entry of a data centre from which none is heard counted as a watcher, for ever, and the ranks put the large VMs of the dead data centres first.

Change: once an entry is settled, only entries that are heard are watchers. A data centre that is cut off has watchers of its own, so it needs none of this side's guesses; an entry that has just started still goes by ranks.

--- a/crates/fleet/src/membership/relays.rs
+++ b/crates/fleet/src/membership/relays.rs
@@ -59,10 +59,12 @@
             Role::Hub | Role::Follower => WATCHERS_WITH_HUBS,
         };
         let own = self.registry.own_key();
+        // The entries of a data centre from which none is heard follow watchers of their own.
+        let settled = self.is_settled(now);
         let watches = |key: u32| match self.live.get(&key) {
             _ if key == own => reaches_store,
             Some(status) => status.reaches_store,
-            None => self.is_available(now, key),
+            None => !settled && self.is_available(now, key),
         };
         let ranked = self.registry.ranked().iter().copied();
         ranked.filter(|k| watches(*k)).take(count).collect()
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -222,6 +222,26 @@
     }
 }
 
+/// Guards against entries that follow dead watchers of the store for ever, because nobody of
+/// their data centre is left to say that they are dead.
+#[test]
+fn a_data_centre_that_is_left_alone_watches_the_store() {
+    for (entries, left) in [(65, 1), (65, 10), (300, 40)] {
+        let mut deployment = Deployment::start(entries, 3, 0.01);
+        deployment.run(SETTLE_MS);
+        let left = deployment.lowest_ranked(0, left);
+        for entry in (0..entries).filter(|e| !left.contains(e)) {
+            deployment.inject(Fault::Kill(entry));
+        }
+        deployment.run(MAX_SEARCH_MS);
+        let watches = |e: &&usize| deployment.relay_of(**e) == RelayChoice::Store;
+        let watchers = left.iter().filter(watches).count();
+        assert!((1..=3).contains(&watchers), "{entries}: {watchers} watch");
+        let planners = left.iter().filter(|e| deployment.may_plan(**e)).count();
+        assert_eq!(planners, 1, "{entries} entries");
+    }
+}
+
 /// Guards against shared limits that an entry exceeds because it hears nobody: it divides
 /// them by all registered entries.
 #[test]
