Wait for an address that an earlier process still holds

Cause: each address was bound once, and any error ended the start. A process that stops keeps its datagram port for up to its grace period.

Change: the sockets are bound before anything is served, and an address that is in use, or not there yet, is tried again for the grace period and 2 s, with one log line. SIGTERM ends the wait with exit code 0. Other errors end the start as before.

Tests before: an_address_in_use_ends_the_start, "ended during its start, unix_wait_status(256)"; a_start_that_waits_cannot_be_stopped, exit code 1 in place of 0. After: both pass.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod run;
 mod serve;
 mod settings;
+mod start;
 mod state;
 mod store;
 mod stream;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -37,15 +37,21 @@
 }
 
 impl PeerSocket {
-    pub(crate) async fn bind(address: SocketAddr, incarnation: u64) -> io::Result<Self> {
+    pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
         Ok(Self {
-            socket: UdpSocket::bind(address).await?,
-            incarnation,
+            socket: UdpSocket::from_std(socket)?,
+            incarnation: rand::random(),
             sequence: Cell::new(0),
             bad_logged: Cell::new(None),
         })
     }
 
+    pub(crate) const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Sends the messages that are due.
     pub(crate) fn publish(&self, node: &Node) {
         let now = node.now();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -12,12 +12,11 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::dialect::{Dialect, ObjectKind};
-use crate::logging::logger;
-use crate::metrics::Metrics;
 use crate::node::Node;
-use crate::peers::{self, PeerSocket};
+use crate::peers;
 use crate::serve::{self, ListenerRole, StopPhase};
-use crate::settings::{ReadSettings, Settings};
+use crate::settings::ReadSettings;
+use crate::start::{self, Sockets};
 use crate::state::Phase;
 use crate::{groups, records, sync};
 
@@ -69,64 +68,44 @@
         .build()?;
     LocalSet::new().block_on(&runtime, async {
         // First of all, since a signal without a handler ends the process.
-        let signals = Signals::new()?;
-        let settings = read_settings().map_err(StartError::Settings)?;
-        serve(signals, settings, read_settings, dialect).await
+        let mut signals = Signals::new()?;
+        let (node, sockets) = tokio::select! {
+            _ = signals.terminate.recv() => return Ok(()),
+            started = start::start(read_settings, dialect) => started?,
+        };
+        serve(signals, node, sockets, read_settings).await
     })
 }
 
 async fn serve(
     mut signals: Signals,
-    settings: Settings,
+    node: Rc<Node>,
+    sockets: Sockets,
     read_settings: ReadSettings,
-    dialect: Rc<dyn Dialect>,
 ) -> Result<(), StartError> {
-    let log = logger(&settings.node);
-    let incarnation: u64 = rand::random();
-    let listen = settings.listen.clone();
-    let node = Rc::new(Node::new(settings, dialect, log, Metrics::new()?));
-    info!(node.log, "started"; "version" => env!("CARGO_PKG_VERSION"), "front" => %listen.callers, "incarnation" => incarnation);
-    let socket = Rc::new(PeerSocket::bind(listen.peers, incarnation).await?);
+    let socket = Rc::new(sockets.peers);
+    let listen = &node.settings.listen;
+    info!(node.log, "started"; "version" => env!("CARGO_PKG_VERSION"), "front" => %listen.callers, "incarnation" => socket.incarnation());
     let (stop, stopping) = watch::channel(StopPhase::Open);
-    let mut local_addresses = vec![listen.readiness];
-    if listen.directory != listen.readiness {
-        local_addresses.push(listen.directory);
-    }
+    let local = sockets.local.into_iter().map(|l| (l, ListenerRole::Local));
+    let metrics = sockets.metrics.map(|l| (l, ListenerRole::Metrics));
+    let others = local
+        .chain(metrics)
+        .chain([(sockets.relay, ListenerRole::Relay)]);
     // Each of these stays open until the process ends, and holds a receiver of the stop phase.
-    let mut other_listeners = local_addresses.len() + 1;
-    for address in local_addresses {
-        let listener = serve::listen(address)?;
+    let mut other_listeners = 0;
+    for (listener, role) in others {
+        other_listeners += 1;
         spawn_local(serve::accept(
             node.clone(),
             listener,
-            ListenerRole::Local,
+            role,
             stopping.clone(),
         ));
     }
-    match serve::listen(listen.metrics) {
-        Ok(listener) => {
-            other_listeners += 1;
-            let serving = serve::accept(
-                node.clone(),
-                listener,
-                ListenerRole::Metrics,
-                stopping.clone(),
-            );
-            spawn_local(serving);
-        }
-        Err(error) => warn!(node.log, "metrics not served"; "cause" => %error),
-    }
-    let listener = serve::listen(listen.peers)?;
-    spawn_local(serve::accept(
-        node.clone(),
-        listener,
-        ListenerRole::Relay,
-        stopping.clone(),
-    ));
-    let listener = serve::listen(listen.callers)?;
     let accepting = spawn_local(serve::accept(
         node.clone(),
-        listener,
+        sockets.callers,
         ListenerRole::Callers,
         stopping,
     ));
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,8 +1,6 @@
 //! HTTP servers: callers, calls to the entry itself, metrics and the store relay.
 
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -91,11 +89,6 @@
     }
 }
 
-/// Opens a listener.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    net::listen(address)
-}
-
 async fn connection(
     node: Rc<Node>,
     stream: tokio::net::TcpStream,
