Wait for settings that are written as the process starts

Cause: the file was read once at the start.

Change: unusable settings are read again for 10 s, with one line on standard error, before the start fails with the same error and exit code as before. An error on a closed standard error no longer panics.

Test before: settings_that_are_written_late_end_the_start, "ended without a file, unix_wait_status(512)". After: passes, also by way of half a file.

--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -1,6 +1,9 @@
-//! Waits for the addresses that an earlier process still holds.
+//! Waits for what a start needs while the platform or an earlier process holds it back.
+//!
+//! The settings file may be written as the process starts, and a process that ends keeps
+//! its addresses until its last request is done. Neither is a reason to end.
 
-use std::io;
+use std::io::{self, Write as _};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,8 +18,10 @@
 use crate::node::Node;
 use crate::peers::PeerSocket;
 use crate::run::StartError;
-use crate::settings::{Listen, ReadSettings};
+use crate::settings::{Listen, ReadSettings, Settings};
 
+/// Time for which usable settings are waited for.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time beyond the grace period for which an earlier process may hold an address.
 const ADDRESS_MARGIN: Duration = Duration::from_secs(2);
 /// Pause before something is tried again.
@@ -33,12 +38,32 @@
     pub(crate) metrics: Option<TcpListener>,
 }
 
+/// Reads the settings, waiting for a file that isn't there or isn't complete.
+async fn wait_for_settings(read_settings: ReadSettings) -> Result<Settings, StartError> {
+    let end = Instant::now() + SETTINGS_TIMEOUT;
+    let mut reported = false;
+    loop {
+        let error = match read_settings() {
+            Ok(settings) => return Ok(settings),
+            Err(error) => error,
+        };
+        if Instant::now() >= end {
+            return Err(StartError::Settings(error));
+        }
+        if !std::mem::replace(&mut reported, true) {
+            // There is no logger without settings, and no harm if nobody reads the line.
+            let _ = writeln!(io::stderr(), "waiting for settings: {error}");
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Reads the settings, builds the node and binds its sockets.
 pub(crate) async fn start(
     read_settings: ReadSettings,
     dialect: Rc<dyn Dialect>,
 ) -> Result<(Rc<Node>, Sockets), StartError> {
-    let settings = read_settings().map_err(StartError::Settings)?;
+    let settings = wait_for_settings(read_settings).await?;
     let log = logger(&settings.node);
     let listen = settings.listen.clone();
     let limit = settings.bounds.grace + ADDRESS_MARGIN;
