Log requests that are abandoned, and why a stream is cut

A request whose connection closed before its first event left no line, and a begun stream that was cut left one without the reason. The users' record of a lost request has no line that names it, so their cause couldn't be told from the logs: caller, deadline, no leader, refusals or retry budget.

Change: `request abandoned` names a request that is dropped without an answer, with the time it was held; `stream ended` names the cause of a cut. Both are counted. No behaviour changes otherwise.

Checked: a caller that closes its sending side counts as one that has left.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use crate::dialect::ObjectKind;
-use crate::outcome::{Refusal, RetryCause};
+use crate::outcome::{CutCause, Refusal, RetryCause};
 
 /// What bytes to other entries and to endpoints are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -35,6 +35,8 @@
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     refusals: Counter<u64>,
+    cut_streams: Counter<u64>,
+    abandoned: Counter<u64>,
     retries: Counter<u64>,
     broken_attempts: Counter<u64>,
     foreign_answers: Counter<u64>,
@@ -83,6 +85,14 @@
         Ok(Self {
             answers: counter("bulrushhoist_answers", "Answers by kind of call and status"),
             refusals: counter("bulrushhoist_refusals", "Refusals by reason"),
+            cut_streams: counter(
+                "bulrushhoist_cut_streams",
+                "Streams that had begun and ended incomplete, by cause",
+            ),
+            abandoned: counter(
+                "bulrushhoist_abandoned_requests",
+                "Requests whose connection closed before an answer",
+            ),
             retries: counter("bulrushhoist_retries", "Retries by cause"),
             broken_attempts: counter(
                 "bulrushhoist_broken_attempts",
@@ -167,6 +177,15 @@
         self.refusals.add(1, &[reason]);
     }
 
+    pub(crate) fn on_cut_stream(&self, cause: CutCause) {
+        let cause = KeyValue::new("cause", cause.to_string());
+        self.cut_streams.add(1, &[cause]);
+    }
+
+    pub(crate) fn on_abandoned(&self) {
+        self.abandoned.add(1, &[]);
+    }
+
     pub(crate) fn on_retry(&self, cause: RetryCause) {
         self.retries
             .add(1, &[KeyValue::new("cause", cause.to_string())]);
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -85,6 +85,42 @@
     }
 }
 
+/// Why a stream that has begun ends before it is complete. The names are values of logs and
+/// metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub(crate) enum CutCause {
+    /// Its deadline has passed.
+    Deadline,
+    /// Its route allows no further attempt.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+    /// Endpoints refused it too often, or no leader was left.
+    NoLeader,
+    /// Its route doesn't allow it to be resumed.
+    NotResumable,
+    /// An endpoint that should resume it gave another answer.
+    OtherAnswer,
+    /// It was refused because endpoints crash under it.
+    Quarantined,
+}
+
+/// Why a streaming call is given up before its next event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GaveUp {
+    /// What a caller is told who has had no event.
+    pub(crate) refusal: Refusal,
+    /// Why the stream is cut if the caller has had one.
+    pub(crate) cause: CutCause,
+}
+
+impl GaveUp {
+    pub(crate) const fn new(refusal: Refusal, cause: CutCause) -> Self {
+        Self { refusal, cause }
+    }
+}
+
 /// Why a request is sent to another endpoint. The names are values of logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display(rename_all = "snake_case")]
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_core::Fingerprint;
+use bulrushhoist_core::{Fingerprint, Time};
 use bulrushhoist_fleet::{CallKind, MIN_RETRY_AFTER, SharedParts};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -203,9 +203,33 @@
     let received = node.now();
     node.state.borrow_mut().traffic_seen = true;
     let id = call::request_id(node, request.headers());
-    match call::accept(node, received, request).await {
+    let pending = Pending {
+        node,
+        id: &id,
+        received,
+    };
+    let response = match call::accept(node, received, request).await {
         Err(refusal) => refuse(node, &id, received, refusal, None),
         Ok(call) => run(node, call).await,
+    };
+    // From here on other lines name the request.
+    std::mem::forget(pending);
+    response
+}
+
+/// A request without an answer. Logs the request if it is dropped, which happens when its
+/// connection closes, whoever closed it.
+struct Pending<'r> {
+    node: &'r Node,
+    id: &'r HeaderValue,
+    received: Time,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        let held = self.node.now().since(self.received).as_millis() as u64;
+        self.node.metrics.on_abandoned();
+        info!(self.node.log, "request abandoned"; "request" => text(self.id), "held_ms" => held);
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -24,7 +24,7 @@
 use crate::connection::Connection;
 use crate::events::{EventSplitter, Events};
 use crate::node::Node;
-use crate::outcome::{Refusal, RetryCause};
+use crate::outcome::{CutCause, GaveUp, Refusal, RetryCause};
 use crate::waiting::await_leader;
 
 /// Chunks that may be queued for a slow caller. When the queue is full, the endpoint's
@@ -63,6 +63,17 @@
     Complete(Parts, Bytes, Name),
 }
 
+/// How a stream that had begun ended, as its log line says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+enum StreamEnd {
+    #[display("whole")]
+    Whole,
+    #[display("caller left")]
+    CallerLeft,
+    #[display("cut")]
+    Cut(CutCause),
+}
+
 /// The answer to a streaming call.
 pub(crate) enum StreamAnswer {
     /// Status and headers, and the chunks that follow.
@@ -77,7 +88,7 @@
     let mut progress = Progress::default();
     let started = start_stream(node, &call, &mut progress).await;
     match started {
-        Err(refusal) => Err((call, refusal)),
+        Err(gave_up) => Err((call, gave_up.refusal)),
         Ok(StreamStart::Complete(parts, body, endpoint)) => {
             Ok(StreamAnswer::Complete(parts, body, endpoint))
         }
@@ -98,7 +109,7 @@
     node: &Rc<Node>,
     call: &Call,
     progress: &mut Progress,
-) -> Result<StreamStart, Refusal> {
+) -> Result<StreamStart, GaveUp> {
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let retried = progress.runs + progress.refusals > 0;
@@ -115,21 +126,33 @@
                 progress.waited += waited;
                 endpoint
             }
-            Err(reason) if retried => return Err(refusal.without_retry(reason)),
-            Err(reason) => return Err(reason),
+            Err(reason) => {
+                let cause = match reason {
+                    Refusal::TimedOut => CutCause::Deadline,
+                    _ if reason.is_quarantine() => CutCause::Quarantined,
+                    _ => CutCause::NoLeader,
+                };
+                let refusal = match retried {
+                    true => refusal.without_retry(reason),
+                    false => reason,
+                };
+                return Err(GaveUp::new(refusal, cause));
+            }
         };
         if retried {
             let now = node.now();
             let mut state = node.state.borrow_mut();
             if !state.take_retry(now, &call.service, node.bounds.get().retries) {
-                return Err(refusal);
+                return Err(GaveUp::new(refusal, CutCause::Budget));
             }
         }
         progress.tried.push(endpoint.id.clone());
         // Dropping the attempt closes its connection, which may save the endpoint.
         let tried = tokio::select! {
             biased;
-            () = node.until_quarantined(call), if unbegun => return Err(Refusal::AnswerLost),
+            () = node.until_quarantined(call), if unbegun => {
+                return Err(GaveUp::new(Refusal::AnswerLost, CutCause::Quarantined));
+            }
             tried = try_leader(node, call, progress, endpoint) => tried,
         };
         let failed = match tried {
@@ -137,7 +160,9 @@
             Err(failed) => failed,
         };
         let cause = match failed {
-            AttemptError::TimedOut => return Err(Refusal::TimedOut),
+            AttemptError::TimedOut => {
+                return Err(GaveUp::new(Refusal::TimedOut, CutCause::Deadline));
+            }
             AttemptError::NotRun(cause) => {
                 if refusal != Refusal::AnswerLost {
                     refusal = Refusal::EndpointRefused;
@@ -147,7 +172,7 @@
             AttemptError::MayHaveRun(cause) => {
                 refusal = Refusal::AnswerLost;
                 if !call.route.is_idempotent() {
-                    return Err(refusal);
+                    return Err(GaveUp::new(refusal, CutCause::NotResumable));
                 }
                 cause
             }
@@ -157,8 +182,11 @@
             RetryCause::Refused | RetryCause::Misdirected => progress.refusals += 1,
             RetryCause::Broken | RetryCause::Silent | RetryCause::Failed => progress.runs += 1,
         }
-        if progress.runs >= call.route.max_attempts || progress.refusals > MAX_REFUSALS {
-            return Err(refusal);
+        if progress.runs >= call.route.max_attempts {
+            return Err(GaveUp::new(refusal, CutCause::Attempts));
+        }
+        if progress.refusals > MAX_REFUSALS {
+            return Err(GaveUp::new(refusal, CutCause::NoLeader));
         }
         node.metrics.on_retry(cause);
         info!(node.log, "sent once more"; "request" => call.id_text(), "cause" => %cause, "runs" => progress.runs, "refusals" => progress.refusals, "events" => progress.events, "last_event" => progress.splitter.last_id());
@@ -366,14 +394,14 @@
             &mut progress,
         );
         let read = tokio::select! {
-            () = chunks.closed() => break "caller left",
+            () = chunks.closed() => break StreamEnd::CallerLeft,
             read = next => read,
         };
         let failed = match read {
             Ok(Some(events)) => {
                 progress.events += events.count;
                 if chunks.send(Ok(events.bytes)).await.is_err() {
-                    break "caller left";
+                    break StreamEnd::CallerLeft;
                 }
                 continue;
             }
@@ -387,22 +415,23 @@
                 node.keep_connection(&in_flight.endpoint, connection);
                 let mut state = node.state.borrow_mut();
                 state.quarantine.on_answered(now, call.fingerprint);
-                break "whole";
+                break StreamEnd::Whole;
             }
             Err(failed) => report_failure(node, call, &running.in_flight, failed),
         };
-        if matches!(failed, AttemptError::TimedOut) || !call.route.resumable {
-            let _ = chunks.send(Err(Truncated)).await;
-            break "cut";
+        if matches!(failed, AttemptError::TimedOut) {
+            break StreamEnd::Cut(CutCause::Deadline);
+        }
+        if !call.route.resumable {
+            break StreamEnd::Cut(CutCause::NotResumable);
         }
         drop(running);
         progress.runs += 1;
         if progress.runs >= call.route.max_attempts {
-            let _ = chunks.send(Err(Truncated)).await;
-            break "cut";
+            break StreamEnd::Cut(CutCause::Attempts);
         }
         let restarted = tokio::select! {
-            () = chunks.closed() => break "caller left",
+            () = chunks.closed() => break StreamEnd::CallerLeft,
             restarted = start_stream(node, call, &mut progress) => restarted,
         };
         match restarted {
@@ -410,20 +439,28 @@
                 progress.events += events.count;
                 running = next;
                 if chunks.send(Ok(events.bytes)).await.is_err() {
-                    break "caller left";
+                    break StreamEnd::CallerLeft;
                 }
             }
             // The stream had broken after its last event: nothing is left to forward.
             Ok(StreamStart::Complete(parts, body, _))
                 if parts.status.is_success() && body.is_empty() =>
             {
-                break "whole";
-            }
-            Ok(StreamStart::Complete(..)) | Err(_) => {
-                let _ = chunks.send(Err(Truncated)).await;
-                break "cut";
+                break StreamEnd::Whole;
             }
+            Ok(StreamStart::Complete(..)) => break StreamEnd::Cut(CutCause::OtherAnswer),
+            Err(gave_up) => break StreamEnd::Cut(gave_up.cause),
         }
     };
-    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => outcome, "events" => progress.events, "runs" => progress.runs + 1, "waited_ms" => progress.waited.as_millis() as u64, "took_ms" => node.now().since(call.received).as_millis() as u64);
+    let cause = match outcome {
+        StreamEnd::Cut(cause) => Some(cause),
+        StreamEnd::Whole | StreamEnd::CallerLeft => None,
+    };
+    if let Some(cause) = cause {
+        node.metrics.on_cut_stream(cause);
+        // Fails if the caller has left meanwhile.
+        let _ = chunks.send(Err(Truncated)).await;
+    }
+    let cause = cause.map(|c| c.to_string());
+    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => %outcome, "cause" => cause, "events" => progress.events, "runs" => progress.runs + 1, "waited_ms" => progress.waited.as_millis() as u64, "took_ms" => node.now().since(call.received).as_millis() as u64);
 }
