Let begun streams wait for a leader until their deadline

Change: a stream that has begun waits for a leader until its deadline, ahead of queued requests. It avoids a leader at which it failed for 0.5 s, and its refusals are bounded by time and the shared retry budget instead of a count. Streams that haven't begun are handled as before. What waits for a model's leaders moves to queues.rs, the progress of a stream to progress.rs.

Why one stream can't use up the budget: it asks each leader at most twice a second, and takes a retry each time.

Test before: a_begun_stream_is_cut_while_leaders_refuse_it, cut after 110 ms with `"cause":"no_leader"`.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -3,13 +3,14 @@
 //! The process has one thread, so the state needs no lock.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bulrushhoist_core::{Time, stable_hash};
 use bulrushhoist_fleet::{
     AgeLimits, Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership,
-    MembershipSettings, Name, SlowLeader, StopPlan, Suspicion, Work, name_key,
+    MembershipSettings, Name, SlotLimit, SlowLeader, StopPlan, Suspicion, Work, name_key,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -18,6 +19,7 @@
 use crate::dialect::{Dialect, ObjectKind};
 use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
+use crate::queues::{ModelKey, ResumingStream};
 use crate::relay::Relay;
 use crate::settings::{Bounds, Settings};
 use crate::state::{Phase, State};
@@ -222,6 +224,10 @@
                     let _ = waker.send(false);
                 }
             }
+            if self.wake_resuming(now, state, key, &mut queue.resuming) {
+                // It counts itself in the leader's load before another is woken.
+                continue;
+            }
             while !queue.waiting.is_empty() {
                 let first = queue.first_events.estimate();
                 let slot_limit = queue.waiting.next_slot_limit(now, first);
@@ -246,6 +252,25 @@
         state.queues = queues;
     }
 
+    /// Wakes the first begun stream that a leader can take. Returns whether there was one.
+    fn wake_resuming(
+        &self,
+        now: Time,
+        state: &mut State,
+        key: &ModelKey,
+        resuming: &mut VecDeque<ResumingStream>,
+    ) -> bool {
+        resuming.retain(|stream| !stream.waker.is_closed());
+        let centre = &self.settings.data_centre;
+        let place = resuming.iter().position(|stream| {
+            let (work, avoid) = (stream.work, &stream.avoid);
+            let placed = state.choose_leader(now, centre, key, work, SlotLimit::All, avoid);
+            matches!(placed, LeaderChoice::Leader(..))
+        });
+        let stream = place.and_then(|place| resuming.remove(place));
+        stream.is_some_and(|stream| stream.waker.send(()).is_ok())
+    }
+
     /// Returns the suspicions to report to the other entries.
     pub(crate) fn recent_suspicions(&self) -> Vec<Suspicion> {
         let now = self.now();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,18 +9,17 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Allowance, Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine,
-    FirstEventLatency, Health, HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings,
-    MAX_PAUSE, Membership, Name, NamedLimits, Pauses, PlainCandidate, PlainChoice, Quarantine,
-    QuarantineSettings, QueueSettings, RequestQueue, Roster, SharedRetryBudget,
-    SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work, choose_leader,
-    choose_plain_endpoint, max_event_gap, name_key,
+    Allowance, Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health,
+    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, MAX_PAUSE, Membership, Name,
+    NamedLimits, Pauses, PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, Roster,
+    SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work,
+    choose_leader, choose_plain_endpoint, max_event_gap, name_key,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use smallvec::SmallVec;
-use tokio::sync::oneshot;
 
+use crate::queues::{ModelKey, ModelQueue};
 /// Shortest time without an event on any stream of a leader after which the leader
 /// counts as stalled. A lost packet is retransmitted within half of this time, so packet
 /// loss alone does not look like a stall.
@@ -91,19 +90,6 @@
     pub(crate) last_active: Time,
 }
 
-/// Requests that wait for a free slot at a leader of one model.
-#[derive(Default)]
-pub(crate) struct ModelQueue {
-    pub(crate) waiting: RequestQueue,
-    /// Wakes a waiting request: `true` lets it start, `false` refuses it.
-    pub(crate) wakers: HashMap<u64, oneshot::Sender<bool>>,
-    /// Recent times from sending a request to its first event.
-    pub(crate) first_events: FirstEventLatency,
-}
-
-/// Service and model that a request names.
-pub(crate) type ModelKey = (Name, Name);
-
 /// The mutable state of an entry: what it knows of the store, the endpoints and its
 /// peers, and its own requests.
 pub(crate) struct State {
@@ -480,11 +466,6 @@
 
     /// Returns the queue of a model.
     pub(crate) fn queue(&mut self, key: &ModelKey) -> &mut ModelQueue {
-        let fresh = || ModelQueue {
-            waiting: RequestQueue::new(QueueSettings::default()),
-            wakers: HashMap::new(),
-            first_events: FirstEventLatency::default(),
-        };
-        self.queues.entry(key.clone()).or_insert_with(fresh)
+        self.queues.entry(key.clone()).or_default()
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -15,39 +15,26 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use slog::info;
-use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
 use crate::body::Truncated;
 use crate::call::Call;
 use crate::connection::Connection;
-use crate::events::{EventSplitter, Events};
+use crate::events::Events;
 use crate::node::Node;
 use crate::outcome::{CutCause, GaveUp, Refusal, RetryCause};
-use crate::waiting::await_leader;
+use crate::progress::Progress;
+use crate::waiting::{await_leader, await_next_leader};
 
 /// Chunks that may be queued for a slow caller. When the queue is full, the endpoint's
 /// stream is not read on, which passes the back-pressure to the endpoint.
 const MAX_QUEUED_CHUNKS: usize = 16;
-/// Endpoints that may refuse a stream; after one more, the caller is refused.
+/// Endpoints that may refuse a stream that hasn't begun; after one more, the caller is
+/// refused.
 const MAX_REFUSALS: u8 = 1;
-
-/// The progress of a stream over all its attempts.
-#[derive(Default)]
-pub(crate) struct Progress {
-    splitter: EventSplitter,
-    /// Leaders to which the request was sent.
-    tried: SmallVec<[Name; 4]>,
-    /// Attempts whose endpoint may have run the request.
-    runs: u8,
-    /// Time spent in the queue.
-    waited: Duration,
-    /// Attempts whose endpoint refused the request without running it.
-    refusals: u8,
-    /// Events that were forwarded to the caller.
-    events: usize,
-}
+/// Pause of a begun stream while the retry budget is used up.
+const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
 /// A stream whose first event has arrived.
 struct Running {
@@ -113,13 +100,13 @@
     let mut refusal = Refusal::NoEndpoint;
     loop {
         let retried = progress.runs + progress.refusals > 0;
-        let unbegun = progress.events == 0;
+        let unbegun = !progress.has_begun();
         let placed = tokio::select! {
             biased;
             () = node.until_quarantined(call), if unbegun => {
                 Err(node.quarantine_refusal(call).unwrap_or(Refusal::Quarantined))
             }
-            placed = await_leader(node, call, &progress.tried, retried) => placed,
+            placed = place(node, call, progress, retried) => placed,
         };
         let endpoint = match placed {
             Ok((endpoint, waited)) => {
@@ -139,14 +126,15 @@
                 return Err(GaveUp::new(refusal, cause));
             }
         };
-        if retried {
-            let now = node.now();
-            let mut state = node.state.borrow_mut();
-            if !state.take_retry(now, &call.service, node.bounds.get().retries) {
+        if retried && !take_retry(node, call) {
+            if unbegun {
                 return Err(GaveUp::new(refusal, CutCause::Budget));
             }
+            // The budget may have a retry again before the deadline.
+            tokio::time::sleep(BUDGET_PAUSE).await;
+            continue;
         }
-        progress.tried.push(endpoint.id.clone());
+        progress.on_sent(&endpoint.id);
         // Dropping the attempt closes its connection, which may save the endpoint.
         let tried = tokio::select! {
             biased;
@@ -159,6 +147,7 @@
             Ok(started) => return Ok(started),
             Err(failed) => failed,
         };
+        progress.on_failed(node.now());
         let cause = match failed {
             AttemptError::TimedOut => {
                 return Err(GaveUp::new(Refusal::TimedOut, CutCause::Deadline));
@@ -179,13 +168,15 @@
         };
         match cause {
             RetryCause::Unsent => {}
-            RetryCause::Refused | RetryCause::Misdirected => progress.refusals += 1,
+            RetryCause::Refused | RetryCause::Misdirected => {
+                progress.refusals = progress.refusals.saturating_add(1);
+            }
             RetryCause::Broken | RetryCause::Silent | RetryCause::Failed => progress.runs += 1,
         }
         if progress.runs >= call.route.max_attempts {
             return Err(GaveUp::new(refusal, CutCause::Attempts));
         }
-        if progress.refusals > MAX_REFUSALS {
+        if unbegun && progress.refusals > MAX_REFUSALS {
             return Err(GaveUp::new(refusal, CutCause::NoLeader));
         }
         node.metrics.on_retry(cause);
@@ -193,6 +184,26 @@
     }
 }
 
+/// Takes a retry from the budget of the call's service, if there is one.
+fn take_retry(node: &Node, call: &Call) -> bool {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    state.take_retry(now, &call.service, node.bounds.get().retries)
+}
+
+/// Waits for the leader of the next attempt.
+async fn place(
+    node: &Rc<Node>,
+    call: &Call,
+    progress: &Progress,
+    retried: bool,
+) -> Result<(Endpoint, Duration), Refusal> {
+    match progress.has_begun() {
+        true => await_next_leader(node, call, |now| progress.avoided(now)).await,
+        false => await_leader(node, call, &progress.avoided(node.now()), retried).await,
+    }
+}
+
 /// Returns how long to wait in the next attempt. A stall does not end the last attempt
 /// that is allowed, since nothing could follow it.
 fn wait_policy(call: &Call, progress: &Progress) -> WaitPolicy {
@@ -337,7 +348,7 @@
         let frame = match frame {
             Ok(frame) => frame,
             Err(WaitError::TimedOut) => return Err(AttemptError::TimedOut),
-            Err(WaitError::Stalled) if can_move(node, call, &progress.tried) => {
+            Err(WaitError::Stalled) if can_move(node, call, &progress.avoided(node.now())) => {
                 return Err(AttemptError::MayHaveRun(RetryCause::Silent));
             }
             Err(WaitError::Stalled) => {
@@ -426,6 +437,7 @@
             break StreamEnd::Cut(CutCause::NotResumable);
         }
         drop(running);
+        progress.on_failed(node.now());
         progress.runs += 1;
         if progress.runs >= call.route.max_attempts {
             break StreamEnd::Cut(CutCause::Attempts);
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -5,12 +5,17 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit};
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use crate::call::Call;
 use crate::node::Node;
 use crate::outcome::Refusal;
-use crate::state::{ModelKey, State};
+use crate::queues::{ModelKey, ResumingStream};
+use crate::state::State;
+
+/// Interval at which a waiting stream checks which leaders it may use again.
+const RESUMPTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Guard that takes a request out of its queue, also when its caller disconnects.
 struct QueueGuard<'n> {
@@ -105,6 +110,55 @@
     }
 }
 
+/// Chooses a leader that resumes a stream which has begun, and waits until one is free.
+/// `avoid` returns the leaders to leave out at a time. Returns the leader and how long the
+/// stream has waited.
+///
+/// Its caller already reads, so such a stream goes ahead of queued requests and is given up
+/// only if it can't be resumed any more.
+pub(crate) async fn await_next_leader(
+    node: &Rc<Node>,
+    call: &Call,
+    avoid: impl Fn(Time) -> SmallVec<[Name; 4]>,
+) -> Result<(Endpoint, Duration), Refusal> {
+    let model = call.model.clone().ok_or(Refusal::BadRequest)?;
+    let key = (call.service.clone(), model);
+    let since = node.now();
+    loop {
+        let now = node.now();
+        if now >= call.deadline {
+            return Err(Refusal::TimedOut);
+        }
+        let waiter = {
+            let mut state = node.state.borrow_mut();
+            if state.catalog.service(&call.service).is_none() {
+                return Err(Refusal::NoEndpoint);
+            }
+            let (centre, avoid) = (&node.settings.data_centre, avoid(now));
+            let placed = state.choose_leader(now, centre, &key, call.work, SlotLimit::All, &avoid);
+            let leader = match placed {
+                LeaderChoice::Leader(id, _) => state.roster.get(&id).cloned(),
+                _ => None,
+            };
+            if let Some(leader) = leader {
+                let waited = now.since(since);
+                node.metrics.on_wait(waited);
+                return Ok((leader, waited));
+            }
+            let (waker, waiter) = oneshot::channel();
+            state.queue(&key).resuming.push_back(ResumingStream {
+                waker,
+                avoid,
+                work: call.work,
+            });
+            waiter
+        };
+        let pause = RESUMPTION_CHECK_INTERVAL.min(call.deadline.since(now));
+        // Woken or not, the choice is made anew.
+        let _ = tokio::time::timeout(pause, waiter).await;
+    }
+}
+
 /// Adds the call to its queue. Returns its id there and the receiver that wakes it.
 fn join_queue(
     state: &mut State,
