Bound the memory of all complete bodies together

Cause: 8 MB for each answer and `MaxBodyBytes` for each request, and nothing counted their sum: 60 such answers used 334 MB, 100 bodies of 4 MB 557 MB, of 260 MB. Ruled out by tests that passed before: endless heads, events, answers to probes and orders, and to the clients of store and peers.

Change: complete bodies share a quarter of `MemoryMb` (65 MB), which the settings now read. Each body's first 16 KB are free, so that small requests don't suffer. A request without room gets 503 (`no_room`), since it hasn't run; an answer without room counts as broken. Bytes count until their last copy is dropped, also while a slow caller reads.

Tests before: many_endless_answers_exhaust_the_memory, "the entry used 334 MB"; many_large_requests_exhaust_the_memory, "the entry used 557 MB". After: both pass, with half or more of 40 sound calls beside them answered, and every large request either served or refused.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,7 +13,8 @@
 use slog::{info, warn};
 
 use crate::call::Call;
-use crate::connection::{Connection, ConnectionError, collect};
+use crate::connection::{Connection, ConnectionError};
+use crate::kept::BodyError;
 use crate::node::Node;
 use crate::outcome::RetryCause;
 use crate::pool::Reuse;
@@ -238,7 +239,8 @@
     }
 }
 
-/// Reads the complete body of an answer, up to [`MAX_ANSWER_BYTES`].
+/// Reads the complete body of an answer, up to [`MAX_ANSWER_BYTES`] and to the memory that
+/// all bodies may use.
 pub(crate) async fn read_body(
     node: &Node,
     call: &Call,
@@ -246,11 +248,11 @@
     body: Incoming,
 ) -> Result<Bytes, AttemptError> {
     let endpoint = &in_flight.endpoint;
-    let read = collect(body, MAX_ANSWER_BYTES).await;
+    let read = node.body_memory.read(body, MAX_ANSWER_BYTES).await;
     read.map_err(|error| {
         info!(node.log, "answer not usable"; "request" => call.id_text(), "endpoint" => &*endpoint.id, "cause" => %error);
-        if let ConnectionError::Incomplete(cause) = &error {
-            node.on_disconnect(&endpoint.id, endpoint.incarnation, cause);
+        if let BodyError::Incomplete(cause) = &error {
+            node.on_disconnect(&endpoint.id, endpoint.incarnation, &cause.to_string());
             node.record_broken(call, endpoint, in_flight.phase());
         }
         AttemptError::MayHaveRun(RetryCause::Broken)
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -9,7 +9,6 @@
 use bulrushhoist_core::{Fingerprint, Time, stable_hash};
 use bulrushhoist_fleet::{CallKind, Catalog, Denial, Name, Route, SharedParts, Work};
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
@@ -19,6 +18,7 @@
 use hyper::{Method, Request, Uri};
 use rand::RngExt as _;
 
+use crate::kept::BodyError;
 use crate::node::Node;
 use crate::outcome::Refusal;
 
@@ -169,12 +169,13 @@
         .clock
         .instant(deadline)
         .min(tokio::time::Instant::now() + timeout);
-    let read = tokio::time::timeout_at(limit, Limited::new(body, max_bytes).collect()).await;
+    let read = tokio::time::timeout_at(limit, node.body_memory.read(body, max_bytes)).await;
     match read {
         Err(_) => Err(Refusal::SlowBody),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(Refusal::TooLarge),
+        Ok(Err(BodyError::NoRoom)) => Err(Refusal::NoRoom),
+        Ok(Err(BodyError::Incomplete(_))) => Err(Refusal::BadRequest),
     }
 }
 
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -187,7 +187,7 @@
 }
 
 /// Reads a complete body of bounded size.
-pub(crate) async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, ConnectionError> {
+async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, ConnectionError> {
     let complete = Limited::new(body, max_bytes).collect().await;
     match complete {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod events;
 mod groups;
+mod kept;
 mod logging;
 mod metrics;
 mod net;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -52,6 +52,7 @@
     waited: Histogram<f64>,
     quarantined: Gauge<u64>,
     paused: Gauge<u64>,
+    body_bytes: Gauge<u64>,
     limited: Gauge<u64>,
     version: Gauge<u64>,
     copy_age: Gauge<f64>,
@@ -143,6 +144,10 @@
                 .u64_gauge("bulrushhoist_quarantined")
                 .with_description("Requests and parts of prompts that are refused")
                 .build(),
+            body_bytes: meter
+                .u64_gauge("bulrushhoist_body_bytes")
+                .with_description("Bytes of complete bodies that count against their memory")
+                .build(),
             paused: meter
                 .u64_gauge("bulrushhoist_paused_endpoints")
                 .with_description("Endpoints that asked this entry for a pause")
@@ -255,6 +260,10 @@
         self.quarantined.record(count as u64, &[subject]);
     }
 
+    pub(crate) fn set_body_bytes(&self, bytes: usize) {
+        self.body_bytes.record(bytes as u64, &[]);
+    }
+
     pub(crate) fn set_paused(&self, count: usize) {
         self.paused.record(count as u64, &[]);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::dialect::{Dialect, ObjectKind};
+use crate::kept::BodyMemory;
 use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
 use crate::queues::{ModelKey, ResumingStream};
@@ -27,6 +28,9 @@
 
 /// Slowdown from which on a leader is reported to the other entries as slow.
 const MIN_REPORTED_SLOWDOWN: f64 = 1.3;
+/// Part of the process's memory that complete bodies may use, as a divisor. The rest holds
+/// state, connections and the copies of bodies that are being written.
+const BODY_MEMORY_DIVISOR: usize = 4;
 /// Minimum time between two log lines about objects of the store that can't be used.
 const ODD_OBJECT_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which a suspicion is included in the messages to the other entries.
@@ -45,6 +49,7 @@
     pub(crate) state: RefCell<State>,
     pub(crate) pool: ConnectionPool,
     pub(crate) relay: Relay,
+    pub(crate) body_memory: BodyMemory,
     /// Wakes the planner when something changed that may call for orders.
     pub(crate) planner_wake: Notify,
     /// Wakes the calls that wait when something is quarantined.
@@ -72,6 +77,7 @@
             callers: settings.listen.callers,
             cpu_milli: settings.cpu_milli,
         };
+        let body_memory = BodyMemory::new(settings.memory_bytes / BODY_MEMORY_DIVISOR);
         let peers = Membership::new(MembershipSettings::default(), own, clock.now());
         let state = State::new(seed, peers);
         Self {
@@ -85,6 +91,7 @@
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
             relay: Relay::default(),
+            body_memory,
             planner_wake: Notify::new(),
             quarantine_changed: Notify::new(),
             odd_object_logged: Cell::new(None),
@@ -120,6 +127,7 @@
                 self.metrics.set_copy_age(kind, now.since(answered_at));
             }
         }
+        self.metrics.set_body_bytes(self.body_memory.used());
         self.metrics.export()
     }
 
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -16,6 +16,8 @@
     UnknownKey,
     /// The body is larger than the configuration allows.
     TooLarge,
+    /// The bodies of other requests and answers use all the memory that they may use.
+    NoRoom,
     /// The request cannot be read or parsed.
     BadRequest,
     /// Its body did not arrive in time.
@@ -72,6 +74,7 @@
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NoConfiguration
+            | Self::NoRoom
             | Self::NoEndpoint
             | Self::LineFull
             | Self::Paused
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -366,7 +366,7 @@
     }
     let closes = matches!(
         refusal,
-        Refusal::TooLarge | Refusal::BadRequest | Refusal::SlowBody
+        Refusal::TooLarge | Refusal::NoRoom | Refusal::BadRequest | Refusal::SlowBody
     );
     if closes || node.state.borrow().phase != Phase::Serving {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -53,6 +53,8 @@
     pub bootstrap: bool,
     /// Processor time that the process may use, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// The addresses on which it listens.
     pub listen: Listen,
     /// How to reach the store.
@@ -68,6 +70,7 @@
             ("node", self.node != new.node),
             ("data_centre", self.data_centre != new.data_centre),
             ("cpu", self.cpu_milli != new.cpu_milli),
+            ("memory", self.memory_bytes != new.memory_bytes),
             ("listen", self.listen != new.listen),
             ("store", self.store != new.store),
         ];
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -375,7 +375,12 @@
         node.on_activity(&endpoint.id, endpoint.incarnation);
         node.on_call_bytes(endpoint, data.len());
         match splitter.push(&data) {
-            Ok(Some(events)) => return Ok(Some(events)),
+            Ok(Some(Events { bytes, count })) => {
+                // A slow caller may leave many chunks unread.
+                let kept = node.body_memory.keep(bytes);
+                let kept = kept.map(|bytes| Some(Events { bytes, count }));
+                return kept.map_err(|_| AttemptError::MayHaveRun(RetryCause::Broken));
+            }
             Ok(None) => {}
             Err(_) => return Err(AttemptError::MayHaveRun(RetryCause::Broken)),
         }
--- a/crates/entry/tests/unit/connection.rs
+++ b/crates/entry/tests/unit/connection.rs
@@ -50,6 +50,44 @@
     assert_eq!(fetched.unwrap(), PARTS);
 }
 
+/// Serves one answer with a head or body that has no end.
+async fn serve_endlessly(listener: TcpListener, head: &'static [u8]) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut written = stream.write_all(head).await;
+    while written.is_ok() {
+        written = stream.write_all(&[b'x'; 4_096]).await;
+    }
+}
+
+/// Guards against answers of the store, of peers and to probes and orders that are kept
+/// however long they are.
+#[tokio::test]
+async fn an_answer_without_an_end_is_kept_whole() {
+    let fetch = async |head, large| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = tokio::task::spawn_local(serve_endlessly(listener, head));
+        let mut connection = Connection::open(address, LIMIT, Time::ZERO).await.unwrap();
+        let request = Request::new(Full::default());
+        let fetched = match large {
+            true => connection.fetch_large(request, LIMIT, 1 << 20).await,
+            false => connection.fetch(request, LIMIT, 1 << 20).await,
+        };
+        drop(connection);
+        serving.await.unwrap();
+        fetched
+    };
+    let check = async {
+        for large in [false, true] {
+            let body = fetch(b"HTTP/1.1 200 OK\r\n\r\n".as_slice(), large).await;
+            assert!(matches!(body, Err(ConnectionError::TooLarge)), "{body:?}");
+            let head = fetch(b"HTTP/1.1 200 OK\r\nx-a: ".as_slice(), large).await;
+            assert!(matches!(head, Err(ConnectionError::Broken(_))), "{head:?}");
+        }
+    };
+    LocalSet::new().run_until(check).await;
+}
+
 /// Guards against a fetch that waits for the rest of a body which doesn't arrive.
 #[tokio::test]
 async fn a_body_that_stops_arriving_is_waited_for() {
