Drop log lines that nobody reads instead of failing or waiting

After the reader of its standard output had left once, a process never logged again. After it had stopped reading, SIGTERM didn't end the process: the platform had to kill it.

Cause: a failed write made the logging thread panic (`fuse`), and a write to a full pipe blocks; at its end the process waits for that thread.

Change: each line is written on its own, in parts that a writable pipe takes without blocking, and dropped if the reader doesn't read within 0.2 s. Further lines don't wait. `log lines lost` says how many, once a line goes through.

Tests before: a_reader_that_leaves_ends_the_logs_for_good, "slog::Fuse Drain: BrokenPipe", and no line after the reader came back; a_reader_that_stops_blocks_the_process, "it doesn't end" within 9 s. After: both pass.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod events;
 mod groups;
 mod kept;
+mod log_output;
 mod logging;
 mod metrics;
 mod net;
