List a kind anew when its changes are too large for one answer

Cause: a watch is answered with all changes since the cursor. An answer above 4 MB is rejected, and the same was asked again, until the store dropped its history.

Change: such an answer leads to a list, which comes in pages and without the versions in between.

Test before: a_revoked_key_is_accepted_because_the_changes_are_too_large, 200 in place of 401 four seconds after the store is back. After: passes.

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -432,6 +432,13 @@
                 self.cursor.revision = None;
                 Ok(())
             }
+            // The same question would get the same answer, until the store drops its history.
+            // A list comes in pages, and without the versions in between.
+            Err(StoreError::NoAnswer(ConnectionError::TooLarge)) => {
+                info!(self.node.log, "changes too large, listed anew"; "kind" => %self.kind, "revision" => revision);
+                self.cursor.revision = None;
+                Ok(())
+            }
             Err(error) => Err(error),
         }
     }
