Recognise a standby group by its whole name

Cause: a VM's last group counted as a standby group if its name contained "-standby-", and names of groups begin with that of their service.

Change: the name must be the VM's service, "-standby-" and digits, as the planner builds it. A serving group's name is the service, "-" and digits, so the two can't be the same for one service.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -141,10 +141,6 @@
 /// planned.
 const ROSTER_SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// Part of the names of standby groups. By it every planner knows that the leader of such
-/// a group was never told to open.
-pub(crate) const STANDBY_INFIX: &str = "-standby-";
-
 impl Planner {
     /// Creates a planner that has given no orders.
     #[must_use]
@@ -296,7 +292,10 @@
         let membership = vm.membership()?;
         let group = planned.get(&*membership.group);
         let planned = group.is_some_and(|g| vm.is_in(g) && g.has_member(&vm.endpoint.id));
-        if planned || is_standby(membership) || self.has_left(vm, membership) {
+        if planned
+            || standby::is_on_standby(vm.endpoint, membership)
+            || self.has_left(vm, membership)
+        {
             self.unplanned_since.remove(&vm.endpoint.id);
             return None;
         }
@@ -385,7 +384,7 @@
     /// its group.
     fn may_join(&self, vm: &VmView<'_>) -> bool {
         let old = vm.membership();
-        old.is_none_or(|old| is_standby(old) || self.has_left(vm, old))
+        old.is_none_or(|old| standby::is_on_standby(vm.endpoint, old) || self.has_left(vm, old))
     }
 
     /// Returns whether a VM answered that it has left a group that its record still shows.
@@ -491,7 +490,3 @@
         })
     }
 }
-
-fn is_standby(membership: &GroupMembership) -> bool {
-    membership.group.contains(STANDBY_INFIX)
-}
--- a/crates/fleet/src/planner/standby.rs
+++ b/crates/fleet/src/planner/standby.rs
@@ -4,8 +4,9 @@
 
 use super::consolidate::Consolidation;
 use super::free::{FreeVms, member, member_ids, missing_groups};
-use super::{STANDBY_INFIX, VmView, Vms};
+use super::{VmView, Vms};
 use crate::catalog::{Engine, Model};
+use crate::endpoint::{Endpoint, GroupMembership};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
 /// Assigns a model to every spare VM, to be kept loaded.
@@ -45,7 +46,7 @@
         counts.add_spare(domain, &model.name);
         let epoch = plan.next_epoch();
         plan.groups.push(GroupPlan {
-            name: format!("{service}{STANDBY_INFIX}{epoch}"),
+            name: group_name(service, epoch),
             service: service.to_owned(),
             model: model.name.to_string(),
             epoch,
@@ -222,3 +223,29 @@
         members * 100 / (spares + 1)
     }
 }
+
+/// What follows the service in the name of a standby group, before the epoch.
+const INFIX: &str = "-standby-";
+
+fn group_name(service: &str, epoch: u64) -> String {
+    format!("{service}{INFIX}{epoch}")
+}
+
+/// Returns whether a VM's last group was a standby group, whose leader was never told to
+/// open. The VM's record has nothing of a group but its name and epoch, and the plan may no
+/// longer have the group.
+pub(super) fn is_on_standby(endpoint: &Endpoint, membership: &GroupMembership) -> bool {
+    is_standby_name(&endpoint.service, &membership.group)
+}
+
+/// Returns whether a group of a service is a standby group. The names of services may
+/// contain anything, so only a name that is built like that of a standby group counts.
+fn is_standby_name(service: &str, group: &str) -> bool {
+    let rest = group.strip_prefix(service);
+    let epoch = rest.and_then(|rest| rest.strip_prefix(INFIX));
+    epoch.is_some_and(|e| !e.is_empty() && e.bytes().all(|b| b.is_ascii_digit()))
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/standby.rs"]
+mod tests;
