Read the settings once more as a stop begins

Cause: the settings were read at the start and at SIGHUP only, but the file may change without a signal.

Change: SIGTERM reads them again before the stop is planned; if they can't be used, the last ones hold. Other bounds still wait for a signal.

Test before: a_grace_period_that_changed_without_a_signal_is_not_kept, the stop and its last answers took 7.4 s where the grace period is 5 s. After: passes; so does a_stop_without_a_settings_file_cuts_off_requests.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -123,6 +123,8 @@
             _ = signals.reload.recv() => reload_settings(&node, read_settings),
         }
     }
+    // The settings may have changed without a signal.
+    reload_settings(&node, read_settings);
     let grace = node.bounds.get().grace;
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis() as u64);
     let since = node.now();
