Hold back events without room instead of blaming their endpoint

Now the endpoint's stream isn't read on until there is room or the deadline passes, as for any slow caller.

No test reaches this: it needs 65 MB of unread chunks above 16 KB.

--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -42,9 +42,9 @@
     /// Returns the leaders to leave out in the next attempt: all that were tried, or those
     /// at which a begun stream has failed a moment ago. One leader may be all there is.
     pub(crate) fn avoided(&self, now: Time) -> SmallVec<[Name; 4]> {
-        let since = |at: Time| now.since(at) < LEADER_BACKOFF;
-        let avoided = |t: &&Tried| !self.has_begun() || t.failed.is_none_or(since);
-        let tried = self.tried.iter().filter(avoided);
+        let is_recent = |at: Time| now.since(at) < LEADER_BACKOFF;
+        let is_avoided = |t: &&Tried| !self.has_begun() || t.failed.is_none_or(is_recent);
+        let tried = self.tried.iter().filter(is_avoided);
         tried.map(|t| t.leader.clone()).collect()
     }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -33,6 +33,8 @@
 /// Endpoints that may refuse a stream that hasn't begun; after one more, the caller is
 /// refused.
 const MAX_REFUSALS: u8 = 1;
+/// Interval at which events that don't fit into the memory of bodies are tried again.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause of a begun stream while the retry budget is used up.
 const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -375,18 +377,28 @@
         node.on_activity(&endpoint.id, endpoint.incarnation);
         node.on_call_bytes(endpoint, data.len());
         match splitter.push(&data) {
-            Ok(Some(Events { bytes, count })) => {
-                // A slow caller may leave many chunks unread.
-                let kept = node.body_memory.keep(bytes);
-                let kept = kept.map(|bytes| Some(Events { bytes, count }));
-                return kept.map_err(|_| AttemptError::MayHaveRun(RetryCause::Broken));
-            }
+            Ok(Some(events)) => return keep_events(node, call, events).await.map(Some),
             Ok(None) => {}
             Err(_) => return Err(AttemptError::MayHaveRun(RetryCause::Broken)),
         }
     }
 }
 
+/// Counts events among the bodies that are kept, since a slow caller may leave many of them
+/// unread. Waits while there is no room: then the endpoint's stream isn't read on.
+async fn keep_events(node: &Node, call: &Call, events: Events) -> Result<Events, AttemptError> {
+    let Events { bytes, count } = events;
+    loop {
+        if let Ok(bytes) = node.body_memory.keep(bytes.clone()) {
+            return Ok(Events { bytes, count });
+        }
+        if node.now() >= call.deadline {
+            return Err(AttemptError::TimedOut);
+        }
+        tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
+    }
+}
+
 /// Forwards events to the caller until the stream ends, and resumes the stream at other
 /// leaders if it breaks or stalls.
 async fn forward_events(
