--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod queues;
 mod records;
 mod relay;
+mod routing;
 mod run;
 mod serve;
 mod settings;
--- /dev/null
+++ b/crates/entry/src/routing.rs
@@ -0,0 +1,169 @@
+//! Routing: which endpoint gets a request, from what this entry knows of all of them.
+//!
+//! The decisions themselves are in `bulrushhoist-fleet`; this module gathers their inputs
+//! from the entry's state.
+
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{
+    Candidate, ColdLimiter, Engine, Health, LeaderChoice, LeaderChoiceSettings, Name,
+    PlainCandidate, PlainChoice, SlotLimit, Work, choose_leader, choose_plain_endpoint,
+};
+use smallvec::SmallVec;
+
+use crate::queues::ModelKey;
+use crate::state::{COLD_RATE_FACTOR, HeldBack, MAX_LIMITED_TIME, State};
+
+impl State {
+    /// Returns whether this entry has used up its share of a model's slots before it has
+    /// received the loads of all other entries. The share prevents overload after a restart
+    /// of all entries, when each of them sees only idle leaders.
+    fn is_share_used(&self, now: Time, engine: &Engine, leaders: &[Candidate]) -> bool {
+        if self.peers.is_settled(now) {
+            return false;
+        }
+        let entries = self.entries(now);
+        let own = leaders.iter().filter_map(|c| self.loads.get(&c.id));
+        let own: u32 = own.map(|l| l.requests).sum();
+        let slots = leaders.len() as f64 * f64::from(engine.slots);
+        f64::from(own) >= (slots / entries as f64).ceil()
+    }
+
+    fn has_cold_capacity(&self, now: Time, id: &Name, per_s: f64) -> bool {
+        let entries = self.entries(now);
+        let has_capacity = |a: &ColdLimiter| a.allows(now, per_s * COLD_RATE_FACTOR, entries);
+        per_s <= 0.0 || self.cold.get(id).is_none_or(has_capacity)
+    }
+
+    /// Chooses a leader for a request. Leaders in `avoid` are left out because the request
+    /// has failed there.
+    pub(crate) fn choose_leader(
+        &mut self,
+        now: Time,
+        data_centre: &str,
+        key: &ModelKey,
+        work: Work,
+        slot_limit: SlotLimit,
+        avoid: &[Name],
+    ) -> LeaderChoice {
+        let (service, model) = key;
+        let catalog = self.catalog.clone();
+        let configured = catalog.service(service);
+        let Some((configured, engine)) = configured.and_then(|s| s.engine.as_ref().map(|e| (s, e)))
+        else {
+            return LeaderChoice::Unavailable;
+        };
+        let time_factor = engine
+            .models
+            .iter()
+            .find(|m| m.name == *model)
+            .map_or(1.0, |m| m.time_factor);
+        let usable = self
+            .roster
+            .leaders(service, model)
+            .filter(|e| !avoid.contains(&e.id));
+        let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
+        let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
+        let mut held: Option<HeldBack> = None;
+        let mut rate = 0.0;
+        for leader in usable {
+            rate += self
+                .limits
+                .share(&leader.id, leader.incarnation)
+                .unwrap_or(0.0);
+            if let Some(reason) = self.held_back(now, leader) {
+                held = Some(held.map_or(reason, |h| h.sooner(reason)));
+                continue;
+            }
+            let candidate = Candidate {
+                id: leader.id.clone(),
+                batch: self.batch(now, &leader.id),
+                local: &*leader.data_centre == data_centre,
+                slowdown: self.slowdown(now, engine, leader),
+                cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
+            };
+            match self.health(now, leader) {
+                Health::Alive => candidates.push(candidate),
+                Health::Suspect => suspects.push(candidate),
+                Health::Silent | Health::Dead => {}
+            }
+        }
+        let entries = self.entries(now);
+        let queue = self.queues.get(key);
+        let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
+        let interval = self.peers.view_age().as_secs_f64();
+        let settings = LeaderChoiceSettings {
+            entries,
+            // Callers choose entries at random, so each entry has about the same rate.
+            unseen_arrivals: own_rate * entries as f64 * interval,
+            ..LeaderChoiceSettings::default()
+        };
+        let chosen = if candidates.is_empty() {
+            &suspects[..]
+        } else {
+            &candidates[..]
+        };
+        match held {
+            Some(HeldBack::Paused(remaining)) if chosen.is_empty() => {
+                return LeaderChoice::Paused(remaining);
+            }
+            Some(HeldBack::Limited(remaining)) if chosen.is_empty() => {
+                // Those that wait already go first.
+                let ahead = queue.map_or(0, |q| q.waiting.len()) as f64;
+                let ahead = Duration::try_from_secs_f64(ahead / rate).unwrap_or(MAX_LIMITED_TIME);
+                return LeaderChoice::Limited(remaining.saturating_add(ahead));
+            }
+            _ => {}
+        }
+        if self.is_share_used(now, engine, chosen) {
+            return LeaderChoice::Full;
+        }
+        choose_leader(
+            &settings,
+            engine,
+            time_factor,
+            chosen,
+            work,
+            slot_limit,
+            &mut self.rng,
+        )
+    }
+
+    /// Chooses an endpoint of a service without engines, preferring those that this call
+    /// has not tried.
+    pub(crate) fn choose_endpoint(
+        &mut self,
+        now: Time,
+        data_centre: &str,
+        service: &str,
+        tried: &[Name],
+    ) -> PlainChoice {
+        let mut endpoints: SmallVec<[PlainCandidate; 8]> = SmallVec::new();
+        let mut held: Option<HeldBack> = None;
+        for endpoint in self.roster.of_service(service) {
+            let reason = self.held_back(now, endpoint);
+            if let Some(reason) = reason.filter(|_| !tried.contains(&endpoint.id)) {
+                held = Some(held.map_or(reason, |h| h.sooner(reason)));
+                continue;
+            }
+            let health = self.health(now, endpoint);
+            if health == Health::Dead {
+                continue;
+            }
+            endpoints.push(PlainCandidate {
+                id: endpoint.id.clone(),
+                requests: self.batch(now, &endpoint.id).requests as u32,
+                slots: endpoint.slots,
+                local: &*endpoint.data_centre == data_centre,
+                suspect: health != Health::Alive,
+                tried: tried.contains(&endpoint.id),
+            });
+        }
+        match (choose_plain_endpoint(&endpoints, &mut self.rng), held) {
+            (PlainChoice::Unavailable, Some(HeldBack::Paused(time))) => PlainChoice::Paused(time),
+            (PlainChoice::Unavailable, Some(HeldBack::Limited(time))) => PlainChoice::Limited(time),
+            (choice, _) => choice,
+        }
+    }
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,15 +9,13 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Allowance, Batch, Candidate, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health,
-    HealthMonitor, HealthSettings, LeaderChoice, LeaderChoiceSettings, MAX_PAUSE, Membership, Name,
-    NamedLimits, Pauses, PlainCandidate, PlainChoice, Quarantine, QuarantineSettings, Roster,
-    SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds, SlotLimit, StoreContact, Work,
-    choose_leader, choose_plain_endpoint, max_event_gap, name_key,
+    Allowance, Batch, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health, HealthMonitor,
+    HealthSettings, MAX_PAUSE, Membership, Name, NamedLimits, Pauses, Quarantine,
+    QuarantineSettings, Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds,
+    StoreContact, max_event_gap, name_key,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
-use smallvec::SmallVec;
 
 use crate::queues::{ModelKey, ModelQueue};
 /// Shortest time without an event on any stream of a leader after which the leader
@@ -32,14 +30,14 @@
 
 /// Factor on the published request rate of a cold endpoint before it is divided among the
 /// entries. Entries that are joining or restarting are not in their count yet.
-const COLD_RATE_FACTOR: f64 = 1.2;
+pub(crate) const COLD_RATE_FACTOR: f64 = 1.2;
 
 /// Time after a pause for which its endpoint is treated as cold.
 const RESUMPTION_TIME: Duration = Duration::from_secs(2);
 
 /// Longest time for which a limit is expected to hold requests back. Callers of an entry
 /// that holds no share of it come back then, and likely to another entry.
-const MAX_LIMITED_TIME: Duration = Duration::from_millis(1_500);
+pub(crate) const MAX_LIMITED_TIME: Duration = Duration::from_millis(1_500);
 
 /// Why an endpoint takes no request of this entry now, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,7 +56,7 @@
     }
 
     /// Returns the one that ends first.
-    fn sooner(self, other: Self) -> Self {
+    pub(crate) fn sooner(self, other: Self) -> Self {
         match other.time() < self.time() {
             true => other,
             false => self,
@@ -178,7 +176,7 @@
 
     /// Returns the factor by which a group is slower than its published times. Groups that
     /// span fabric domains and groups with a slow member are slower.
-    fn slowdown(&self, now: Time, engine: &Engine, leader: &Endpoint) -> f64 {
+    pub(crate) fn slowdown(&self, now: Time, engine: &Engine, leader: &Endpoint) -> f64 {
         let domain_factor = match self.roster.spans_domains(leader) {
             true => engine.cross_domain_factor,
             false => 1.0,
@@ -199,7 +197,7 @@
     }
 
     /// Returns the requests that all entries have in flight at an endpoint.
-    fn batch(&self, now: Time, id: &Name) -> Batch {
+    pub(crate) fn batch(&self, now: Time, id: &Name) -> Batch {
         let own = self.loads.get(id).copied().unwrap_or_default();
         let (requests, prefill_tokens) = self.peers.load(now, name_key(id));
         Batch {
@@ -214,161 +212,10 @@
     }
 
     /// Returns the number of entries that may have requests at endpoints.
-    fn entries(&self, now: Time) -> usize {
+    pub(crate) fn entries(&self, now: Time) -> usize {
         self.peers.entry_count(now)
     }
 
-    /// Returns whether this entry has used up its share of a model's slots before it has
-    /// received the loads of all other entries. The share prevents overload after a restart
-    /// of all entries, when each of them sees only idle leaders.
-    fn is_share_used(&self, now: Time, engine: &Engine, leaders: &[Candidate]) -> bool {
-        if self.peers.is_settled(now) {
-            return false;
-        }
-        let entries = self.entries(now);
-        let own = leaders.iter().filter_map(|c| self.loads.get(&c.id));
-        let own: u32 = own.map(|l| l.requests).sum();
-        let slots = leaders.len() as f64 * f64::from(engine.slots);
-        f64::from(own) >= (slots / entries as f64).ceil()
-    }
-
-    fn has_cold_capacity(&self, now: Time, id: &Name, per_s: f64) -> bool {
-        let entries = self.entries(now);
-        let has_capacity = |a: &ColdLimiter| a.allows(now, per_s * COLD_RATE_FACTOR, entries);
-        per_s <= 0.0 || self.cold.get(id).is_none_or(has_capacity)
-    }
-
-    /// Chooses a leader for a request. Leaders in `avoid` are left out because the request
-    /// has failed there.
-    pub(crate) fn choose_leader(
-        &mut self,
-        now: Time,
-        data_centre: &str,
-        key: &ModelKey,
-        work: Work,
-        slot_limit: SlotLimit,
-        avoid: &[Name],
-    ) -> LeaderChoice {
-        let (service, model) = key;
-        let catalog = self.catalog.clone();
-        let configured = catalog.service(service);
-        let Some((configured, engine)) = configured.and_then(|s| s.engine.as_ref().map(|e| (s, e)))
-        else {
-            return LeaderChoice::Unavailable;
-        };
-        let time_factor = engine
-            .models
-            .iter()
-            .find(|m| m.name == *model)
-            .map_or(1.0, |m| m.time_factor);
-        let usable = self
-            .roster
-            .leaders(service, model)
-            .filter(|e| !avoid.contains(&e.id));
-        let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
-        let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
-        let mut held: Option<HeldBack> = None;
-        let mut rate = 0.0;
-        for leader in usable {
-            rate += self
-                .limits
-                .share(&leader.id, leader.incarnation)
-                .unwrap_or(0.0);
-            if let Some(reason) = self.held_back(now, leader) {
-                held = Some(held.map_or(reason, |h| h.sooner(reason)));
-                continue;
-            }
-            let candidate = Candidate {
-                id: leader.id.clone(),
-                batch: self.batch(now, &leader.id),
-                local: &*leader.data_centre == data_centre,
-                slowdown: self.slowdown(now, engine, leader),
-                cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
-            };
-            match self.health(now, leader) {
-                Health::Alive => candidates.push(candidate),
-                Health::Suspect => suspects.push(candidate),
-                Health::Silent | Health::Dead => {}
-            }
-        }
-        let entries = self.entries(now);
-        let queue = self.queues.get(key);
-        let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
-        let interval = self.peers.view_age().as_secs_f64();
-        let settings = LeaderChoiceSettings {
-            entries,
-            // Callers choose entries at random, so each entry has about the same rate.
-            unseen_arrivals: own_rate * entries as f64 * interval,
-            ..LeaderChoiceSettings::default()
-        };
-        let chosen = if candidates.is_empty() {
-            &suspects[..]
-        } else {
-            &candidates[..]
-        };
-        match held {
-            Some(HeldBack::Paused(remaining)) if chosen.is_empty() => {
-                return LeaderChoice::Paused(remaining);
-            }
-            Some(HeldBack::Limited(remaining)) if chosen.is_empty() => {
-                // Those that wait already go first.
-                let ahead = queue.map_or(0, |q| q.waiting.len()) as f64;
-                let ahead = Duration::try_from_secs_f64(ahead / rate).unwrap_or(MAX_LIMITED_TIME);
-                return LeaderChoice::Limited(remaining.saturating_add(ahead));
-            }
-            _ => {}
-        }
-        if self.is_share_used(now, engine, chosen) {
-            return LeaderChoice::Full;
-        }
-        choose_leader(
-            &settings,
-            engine,
-            time_factor,
-            chosen,
-            work,
-            slot_limit,
-            &mut self.rng,
-        )
-    }
-
-    /// Chooses an endpoint of a service without engines, preferring those that this call
-    /// has not tried.
-    pub(crate) fn choose_endpoint(
-        &mut self,
-        now: Time,
-        data_centre: &str,
-        service: &str,
-        tried: &[Name],
-    ) -> PlainChoice {
-        let mut endpoints: SmallVec<[PlainCandidate; 8]> = SmallVec::new();
-        let mut held: Option<HeldBack> = None;
-        for endpoint in self.roster.of_service(service) {
-            let reason = self.held_back(now, endpoint);
-            if let Some(reason) = reason.filter(|_| !tried.contains(&endpoint.id)) {
-                held = Some(held.map_or(reason, |h| h.sooner(reason)));
-                continue;
-            }
-            let health = self.health(now, endpoint);
-            if health == Health::Dead {
-                continue;
-            }
-            endpoints.push(PlainCandidate {
-                id: endpoint.id.clone(),
-                requests: self.batch(now, &endpoint.id).requests as u32,
-                slots: endpoint.slots,
-                local: &*endpoint.data_centre == data_centre,
-                suspect: health != Health::Alive,
-                tried: tried.contains(&endpoint.id),
-            });
-        }
-        match (choose_plain_endpoint(&endpoints, &mut self.rng), held) {
-            (PlainChoice::Unavailable, Some(HeldBack::Paused(time))) => PlainChoice::Paused(time),
-            (PlainChoice::Unavailable, Some(HeldBack::Limited(time))) => PlainChoice::Limited(time),
-            (choice, _) => choice,
-        }
-    }
-
     /// Returns why and how long this entry may not send an endpoint a request.
     pub(crate) fn held_back(&self, now: Time, endpoint: &Endpoint) -> Option<HeldBack> {
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
