Tell latency-critical services from the configuration

Cause: the parts for hard load must take effect only where a configuration calls for them, and nothing said which services those are.

Change: a service is latency-critical if a streaming route to it has an objective below a TCP retransmission (200 ms) and two passes of a full batch: such a request can't be on time after one send that was rejected or lost. Nothing uses it yet.

The new test fails without the computation (no service is critical).

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,12 +1,13 @@
 //! The configuration in force: routes, services, teams and limits on callers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
 use crate::Name;
+use crate::latency;
 
 /// Whether a route's calls may be repeated, and whether they are answered by a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -200,6 +201,8 @@
     routes: HashMap<Name, Vec<Arc<Route>>>,
     services: HashMap<Name, Service>,
     keys: HashMap<String, Team>,
+    /// Services whose routes leave no time to send a request again.
+    latency_critical: HashSet<Name>,
     /// Whether routes that aren't public need a key.
     has_teams: bool,
     limits: Option<CallerLimits>,
@@ -216,6 +219,15 @@
         teams: Option<Vec<(Team, Vec<String>)>>,
         limits: CallerLimits,
     ) -> Self {
+        let engines = services
+            .iter()
+            .filter_map(|s| Some((&s.name, s.engine.as_ref()?)));
+        let latency_critical = engines.filter(|(name, engine)| {
+            let own = |r: &&Route| r.targets.iter().any(|t| t.service == **name);
+            let mut own = routes.iter().filter(own);
+            own.any(|r| latency::is_critical(r, engine))
+        });
+        let latency_critical = latency_critical.map(|(name, _)| name.clone()).collect();
         let mut by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host
@@ -236,6 +248,7 @@
             routes: by_host,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             keys,
+            latency_critical,
             has_teams,
             limits: Some(limits),
         }
@@ -278,6 +291,13 @@
         self.services.get(name)
     }
 
+    /// Returns whether a service has a streaming route whose objective leaves no time to
+    /// send a request again.
+    #[must_use]
+    pub fn is_latency_critical(&self, service: &str) -> bool {
+        self.latency_critical.contains(service)
+    }
+
     /// Returns every service.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod endpoint;
 mod health;
+mod latency;
 mod leader_choice;
 mod membership;
 mod named_limits;
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use bulrushhoist_fleet::{Catalog, Denial, Target, Team};
+use std::time::Duration;
+
+use bulrushhoist_fleet::{CallKind, Catalog, Denial, Target, Team};
 use smallvec::smallvec;
 use support::{limits, route, service};
 
@@ -96,3 +98,23 @@
     assert_eq!(new.count(), 100);
     assert_eq!(&**split.pick_service(1.0).unwrap(), "new");
 }
+
+#[test]
+fn only_objectives_without_time_for_a_repeat_make_a_service_latency_critical() {
+    // Guards against a deployment that is balanced and planned by rules which its
+    // configuration doesn't call for, and against one that is left out.
+    let stream = |name: &str, objective| {
+        let mut route = route(name, "/s/", "engines");
+        route.kind = CallKind::Stream;
+        route.objective = Duration::from_millis(objective);
+        route
+    };
+    let catalog = |routes| Catalog::new(1, routes, vec![service()], None, limits());
+    // Two passes of five steps of 8 ms, and 200 ms.
+    assert!(catalog(vec![stream("chat", 279)]).is_latency_critical("engines"));
+    assert!(!catalog(vec![stream("chat", 280)]).is_latency_critical("engines"));
+    let mut plain = stream("lookup", 100);
+    plain.kind = CallKind::Safe;
+    assert!(!catalog(vec![plain]).is_latency_critical("engines"));
+    assert!(!catalog(vec![stream("chat", 100)]).is_latency_critical("other"));
+}
