Let hubs try the entries of their data centre that they don't hear

Cause: after a mass failure two entries of one data centre may become hubs that each have followers of their own. A hub reports only to entries that it hears, so neither ever learned of the other: two views of who is alive, for good, and four entries that watch the store where three may.

Change: a hub sends its report in turn to the registered entries of its data centre that it doesn't hear, all within 2 s of becoming a hub and within 20 s later. Whoever gets a report answers it, so the hubs find each other. A hub that hears all sends nothing more.

--- a/crates/fleet/src/membership/hubs.rs
+++ b/crates/fleet/src/membership/hubs.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns whether messages of an entry arrive here or at a hub.
-    fn is_heard(&self, key: u32) -> bool {
+    pub(super) fn is_heard(&self, key: u32) -> bool {
         let direct = self.reports.contains_key(&key) || self.views.contains_key(&key);
         direct || self.live.contains_key(&key)
     }
--- a/crates/fleet/src/membership/search.rs
+++ b/crates/fleet/src/membership/search.rs
@@ -3,7 +3,7 @@
 //! The records of removed VMs stay in the store, so most candidates for a hub may be dead.
 //! An entry that none of its candidates answers therefore reports to every registered one
 //! within a fixed time, however many there are. If nobody answers, it is alone and becomes
-//! a hub. See `docs/decisions/0011-hundreds-of-entries.md`.
+//! a hub. A hub also tries the entries that it doesn't hear. See `docs/decisions/0011-hundreds-of-entries.md`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,7 +42,7 @@
     pub(super) fn update_search(&mut self, now: Time) -> SmallVec<[SocketAddr; 4]> {
         if self.role == Role::Direct || !self.views.is_empty() {
             self.search = None;
-            return SmallVec::new();
+            return self.unheard_candidates(now);
         }
         let search = self.search.get_or_insert(Search {
             since: now,
@@ -71,6 +71,21 @@
         addresses
     }
 
+    /// Returns which unheard entries of its data centre a hub tries, in turn. After a mass
+    /// failure two entries may become hubs that each hear only their own followers; neither
+    /// would ever report to the other.
+    fn unheard_candidates(&self, now: Time) -> SmallVec<[SocketAddr; 4]> {
+        if self.role != Role::Hub || !self.ticks.is_multiple_of(REDUCED_RATE_TICKS) {
+            return SmallVec::new();
+        }
+        let ranked = self.registry.in_data_centre(self.own_data_centre());
+        let candidates = self.summary_candidates(now, ranked).into_iter();
+        let own = self.registry.own_key();
+        let unheard = candidates.filter(|k| *k != own && !self.is_heard(*k));
+        let addresses = unheard.filter_map(|k| Some(self.registry.get(k)?.peers));
+        addresses.collect()
+    }
+
     /// Returns whether no candidate for a hub has answered for a while.
     pub(super) fn is_searching(&self, now: Time) -> bool {
         self.search
