Queue of latency-critical services: requests that can be on time first

Under overload the queue started requests in order of their objectives, and judged by a low estimate of the first event whether they are on time. Nearly all started at the last moment, and most first events were late.

Services with Catalog::is_latency_critical get another discipline: on-time requests by priority, then the team with the fewest recent starts, newest first once a team's line needs longer than the slack of its oldest; late ones by deadline on unreserved slots; one start in ten for the class that has waited longest. Whether a request can be on time follows an upper quantile of recent first events, which counts up to three quarters of an objective. What can't end by its deadline is refused as soon as that is expected. Retry-After covers the queued requests and those refused in the last 2 s, within 0.3 of the time that a caller has left. Other services keep the old order.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::{CallKind, Subject};
+use bulrushhoist_fleet::{CallKind, StartClass, Subject};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -38,6 +38,7 @@
     cut_streams: Counter<u64>,
     abandoned: Counter<u64>,
     retries: Counter<u64>,
+    starts: Counter<u64>,
     broken_attempts: Counter<u64>,
     foreign_answers: Counter<u64>,
     notices: Counter<u64>,
@@ -95,6 +96,10 @@
                 "Requests whose connection closed before an answer",
             ),
             retries: counter("bulrushhoist_retries", "Retries by cause"),
+            starts: counter(
+                "bulrushhoist_starts",
+                "Streams that were given a leader for the first time, by class",
+            ),
             broken_attempts: counter(
                 "bulrushhoist_broken_attempts",
                 "Attempts whose connection broke after the request was sent, by kind of call and whether the request got a strike",
@@ -196,6 +201,11 @@
             .add(1, &[KeyValue::new("cause", cause.to_string())]);
     }
 
+    pub(crate) fn on_start(&self, class: StartClass) {
+        let class = KeyValue::new("class", class.to_string());
+        self.starts.add(1, &[class]);
+    }
+
     pub(crate) fn on_broken_attempt(&self, kind: CallKind, struck: bool) {
         let labels = [
             KeyValue::new("kind", kind.to_string()),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,7 +20,7 @@
 use crate::kept::BodyMemory;
 use crate::metrics::{ByteCause, Metrics};
 use crate::pool::ConnectionPool;
-use crate::queues::{ModelKey, ResumingStream};
+use crate::queues::{ModelKey, ResumingStream, Wake};
 use crate::relay::Relay;
 use crate::settings::{Bounds, Settings};
 use crate::state::{Phase, State};
@@ -220,17 +220,18 @@
         now.since(load.last_active) >= state.stall_timeout(now, endpoint) * factor
     }
 
-    /// Wakes queued requests that can start now, and refuses those that waited too long.
+    /// Wakes queued requests that can start now, and refuses those that can't start in time.
     pub(crate) fn advance_queues(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut queues = std::mem::take(&mut state.queues);
         for (key, queue) in &mut queues {
-            for request in queue.waiting.take_overdue(now) {
+            let first = queue.expected_first();
+            for request in queue.waiting.take_unservable(now, first) {
                 if let Some(waker) = queue.wakers.remove(&request.id) {
                     // Fails if the caller has disconnected in the meantime.
-                    let _ = waker.send(false);
+                    let _ = waker.send(Wake::Refuse);
                 }
             }
             if self.wake_resuming(now, state, key, &mut queue.resuming) {
@@ -238,7 +239,6 @@
                 continue;
             }
             while !queue.waiting.is_empty() {
-                let first = queue.first_events.estimate();
                 let slot_limit = queue.waiting.next_slot_limit(now, first);
                 let centre = &self.settings.data_centre;
                 let placed =
@@ -246,12 +246,13 @@
                 if !matches!(placed, LeaderChoice::Leader(..)) {
                     break;
                 }
-                let Some(request) = queue.waiting.pop(now, first) else {
+                let Some((request, class)) = queue.waiting.pop_class(now, first) else {
                     break;
                 };
                 if let Some(waker) = queue.wakers.remove(&request.id)
-                    && waker.send(true).is_ok()
+                    && waker.send(Wake::Start(slot_limit)).is_ok()
                 {
+                    self.metrics.on_start(class);
                     // One request is woken at a time: it counts itself in the leader's
                     // load first, so that the next one is not sent to the same slot.
                     break;
--- a/crates/entry/src/queues.rs
+++ b/crates/entry/src/queues.rs
@@ -1,26 +1,46 @@
 //! What waits for a leader of one model.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
 
-use bulrushhoist_fleet::{FirstEventLatency, Name, RequestQueue, Work};
+use bulrushhoist_fleet::{Discipline, FirstEventLatency, Name, RequestQueue, SlotLimit, Work};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 /// Service and model that a request names.
 pub(crate) type ModelKey = (Name, Name);
 
+/// What a waiting request is woken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wake {
+    /// It may start on these slots.
+    Start(SlotLimit),
+    /// It is refused.
+    Refuse,
+}
+
 /// Requests that wait for a free slot at a leader of one model.
 #[derive(Default)]
 pub(crate) struct ModelQueue {
     pub(crate) waiting: RequestQueue,
-    /// Wakes a waiting request: `true` lets it start, `false` refuses it.
-    pub(crate) wakers: HashMap<u64, oneshot::Sender<bool>>,
+    pub(crate) wakers: HashMap<u64, oneshot::Sender<Wake>>,
     /// Streams that have begun and wait for a leader to resume them.
     pub(crate) resuming: VecDeque<ResumingStream>,
     /// Recent times from sending a request to its first event.
     pub(crate) first_events: FirstEventLatency,
 }
 
+impl ModelQueue {
+    /// Returns the time from a start to the first event by which the queue tells whether
+    /// requests can be on time.
+    pub(crate) fn expected_first(&self) -> Duration {
+        match self.waiting.discipline() {
+            Discipline::EarliestFirst => self.first_events.estimate(),
+            Discipline::OnTimeFirst => self.first_events.high_estimate(),
+        }
+    }
+}
+
 /// A stream that has begun and waits for a leader.
 pub(crate) struct ResumingStream {
     pub(crate) waker: oneshot::Sender<()>,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{Fingerprint, Time};
-use bulrushhoist_fleet::{CallKind, MIN_RETRY_AFTER, SharedParts};
+use bulrushhoist_fleet::{CallKind, Discipline, MIN_RETRY_AFTER, SharedParts};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, EXPECT, HeaderValue, RETRY_AFTER};
@@ -246,6 +246,7 @@
     route: bulrushhoist_fleet::Name,
     service: bulrushhoist_fleet::Name,
     model: Option<bulrushhoist_fleet::Name>,
+    deadline: Time,
     version: u64,
     fingerprint: Fingerprint,
     parts: SharedParts,
@@ -265,6 +266,7 @@
             route: call.route.name.clone(),
             service: call.service.clone(),
             model: call.model.clone(),
+            deadline: call.deadline,
             version: state.catalog.version,
             fingerprint: call.fingerprint,
             parts: call.parts.clone(),
@@ -322,14 +324,14 @@
     Response::from_parts(parts, body)
 }
 
-/// Fixed part of the time after which a refused caller should retry, in seconds. A random
-/// part is added.
-const BASE_RETRY_AFTER_S: f64 = 0.15;
+/// Fixed part of the time after which a refused caller should retry. A random part is
+/// added.
+const BASE_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Builds the answer to a refused request.
 ///
-/// Retry times are spread at random over the time that the queue takes to empty, so that
-/// refused callers do not all return at once.
+/// Retry times are spread at random over the time that the service takes for those that
+/// wait, and those that return, so that refused callers do not all return at once.
 fn refuse(
     node: &Node,
     id: &HeaderValue,
@@ -363,10 +365,19 @@
         headers.insert(RETRY_AFTER, seconds);
     } else if status == StatusCode::SERVICE_UNAVAILABLE {
         let mut state = node.state.borrow_mut();
-        let spread = queue.and_then(|key| Some(state.queues.get(&key)?.waiting.retry_after(now)));
+        let earliest = BASE_RETRY_AFTER + pause.unwrap_or_default();
+        let remaining = context.map_or(Duration::ZERO, |c| c.deadline.since(now));
+        let spread = queue.and_then(|key| {
+            let waiting = &mut state.queues.get_mut(&key)?.waiting;
+            waiting.on_refused(now);
+            Some(match waiting.discipline() {
+                Discipline::EarliestFirst => waiting.retry_after(now),
+                Discipline::OnTimeFirst => waiting.return_period(now, earliest, remaining),
+            })
+        });
         let spread = spread.unwrap_or(MIN_RETRY_AFTER).as_secs_f64();
-        let earliest = BASE_RETRY_AFTER_S + pause.unwrap_or_default().as_secs_f64();
-        let seconds = format!("{:.2}", earliest + state.rng.random_range(0.0..spread));
+        let delay = earliest.as_secs_f64() + state.rng.random_range(0.0..=spread);
+        let seconds = format!("{delay:.2}");
         drop(state);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, value);
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit};
+use bulrushhoist_fleet::{
+    Discipline, Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit, StartClass,
+    expected_run_time, name_key,
+};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use crate::call::Call;
 use crate::node::Node;
 use crate::outcome::Refusal;
-use crate::queues::{ModelKey, ResumingStream};
+use crate::queues::{ModelKey, ResumingStream, Wake};
 use crate::state::State;
 
 /// Interval at which a waiting stream checks which leaders it may use again.
@@ -46,24 +49,28 @@
     let model = call.model.clone().ok_or(Refusal::BadRequest)?;
     let key = (call.service.clone(), model);
     let since = node.now();
-    let mut woken = retried;
+    let mut granted = None;
+    let request = queued_request(&mut node.state.borrow_mut(), &key, call);
     loop {
         let now = node.now();
         if now >= call.deadline {
             return Err(Refusal::TimedOut);
         }
-        let waiter = {
+        let (id, waiter, latest_start) = {
             let mut state = node.state.borrow_mut();
             let queue = state.queue(&key);
-            let first = queue.first_events.estimate();
-            let late = !retried && now + first > call.objective();
+            let first = queue.expected_first();
+            let late = !retried && queue.waiting.is_late(now, first, &request);
+            let discipline = queue.waiting.discipline();
+            let latest_start = queue.waiting.latest_start(&request);
+            let woken = retried || granted.is_some();
             // A request that can still meet its objective need not wait behind late ones.
             let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
-            let slot_limit = if late {
-                SlotLimit::Unreserved
-            } else {
-                SlotLimit::All
-            };
+            // A reserved start may use all slots, though the request is late.
+            let slot_limit = granted.unwrap_or(match late {
+                true => SlotLimit::Unreserved,
+                false => SlotLimit::All,
+            });
             let centre = &node.settings.data_centre;
             let placed = state.choose_leader(now, centre, &key, call.work, slot_limit, avoid);
             // A stream that was begun elsewhere is worth more than a punctual start.
@@ -71,10 +78,31 @@
                 true => call.deadline,
                 false => call.objective(),
             };
-            match placed {
-                LeaderChoice::Leader(..) if must_wait => join_queue(&mut state, now, &key, call)?,
+            let may_pause = |time| match discipline {
+                Discipline::EarliestFirst => now + time + first <= call.deadline,
+                Discipline::OnTimeFirst => now + time <= latest_start,
+            };
+            let (id, waiter) = match placed {
+                LeaderChoice::Leader(..) if must_wait => {
+                    join_queue(&mut state, now, &key, request)?
+                }
                 LeaderChoice::Leader(id, _) => {
-                    state.queue(&key).waiting.on_start(now);
+                    let queue = state.queue(&key);
+                    queue.waiting.on_start(now);
+                    if !woken {
+                        queue.waiting.on_direct_start(now, first, &request);
+                        let class = match late {
+                            true => StartClass::Late,
+                            false => StartClass::OnTime,
+                        };
+                        node.metrics.on_start(class);
+                    }
+                    let more = !queue.waiting.is_empty();
+                    if more && granted.is_some() && discipline == Discipline::OnTimeFirst {
+                        // Runs after this request has counted itself in the leader's load.
+                        let node = node.clone();
+                        tokio::task::spawn_local(async move { node.advance_queues() });
+                    }
                     let found = state.roster.get(&id).cloned();
                     let waited = now.since(since);
                     node.metrics.on_wait(waited);
@@ -82,29 +110,30 @@
                 }
                 LeaderChoice::Unavailable => return Err(Refusal::NoEndpoint),
                 // The sweep wakes the queue when the pause has ended.
-                LeaderChoice::Paused(time) if now + time + first <= call.deadline => {
-                    join_queue(&mut state, now, &key, call)?
+                LeaderChoice::Paused(time) if may_pause(time) => {
+                    join_queue(&mut state, now, &key, request)?
                 }
                 LeaderChoice::Paused(_) => return Err(Refusal::Paused),
                 LeaderChoice::Limited(time) if now + time + first <= limited_until => {
-                    join_queue(&mut state, now, &key, call)?
+                    join_queue(&mut state, now, &key, request)?
                 }
                 LeaderChoice::Limited(_) => return Err(Refusal::Limited),
-                LeaderChoice::Full => join_queue(&mut state, now, &key, call)?,
-            }
+                LeaderChoice::Full => join_queue(&mut state, now, &key, request)?,
+            };
+            (id, waiter, latest_start)
         };
-        let (id, waiter) = waiter;
         let guard = QueueGuard {
             node,
             key: &key,
             id,
         };
-        let limit = node.clock.instant(call.deadline);
+        let limit = node.clock.instant(latest_start);
         let outcome = tokio::time::timeout_at(limit, waiter).await;
         drop(guard);
-        woken = match outcome {
-            Ok(Ok(true)) => true,
+        granted = match outcome {
+            Ok(Ok(Wake::Start(slot_limit))) => Some(slot_limit),
             Ok(_) => return Err(Refusal::WaitedOut),
+            Err(_) if latest_start < call.deadline => return Err(Refusal::WaitedOut),
             Err(_) => return Err(Refusal::TimedOut),
         };
     }
@@ -159,26 +188,43 @@
     }
 }
 
+/// Returns the call as its queue knows it, and sets the queue's order by the configuration.
+fn queued_request(state: &mut State, key: &ModelKey, call: &Call) -> QueuedRequest {
+    let discipline = match state.catalog.is_latency_critical(&call.service) {
+        true => Discipline::OnTimeFirst,
+        false => Discipline::EarliestFirst,
+    };
+    state.queue(key).waiting.set_discipline(discipline);
+    let service = state.catalog.service(&call.service);
+    let run = service.and_then(|s| s.engine.as_ref()).and_then(|engine| {
+        let model = engine.models.iter().find(|m| m.name == key.1)?;
+        Some(expected_run_time(engine, model.time_factor, call.work))
+    });
+    QueuedRequest {
+        id: 0,
+        priority: call.priority,
+        team: call.team.as_ref().map_or(0, |team| name_key(team)),
+        received: call.received,
+        objective: call.objective(),
+        deadline: call.deadline,
+        run: run.unwrap_or_default(),
+    }
+}
+
 /// Adds the call to its queue. Returns its id there and the receiver that wakes it.
 fn join_queue(
     state: &mut State,
     now: Time,
     key: &ModelKey,
-    call: &Call,
-) -> Result<(u64, oneshot::Receiver<bool>), Refusal> {
+    request: QueuedRequest,
+) -> Result<(u64, oneshot::Receiver<Wake>), Refusal> {
     state.last_queue_id += 1;
     let id = state.last_queue_id;
     let queue = state.queue(key);
-    let request = QueuedRequest {
-        id,
-        priority: call.priority,
-        received: call.received,
-        objective: call.objective(),
-        deadline: call.deadline,
-    };
+    let first = queue.expected_first();
     queue
         .waiting
-        .enqueue(now, request)
+        .enqueue_by(now, first, QueuedRequest { id, ..request })
         .map_err(|_| Refusal::LineFull)?;
     let (waker, waiter) = oneshot::channel();
     queue.wakers.insert(id, waker);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -54,12 +54,16 @@
     Aged, Answer, AttemptKey, CrashReport, Loss, Quarantine, QuarantineSettings, Quarantined,
     SharedParts, Subject, Verdict,
 };
-pub use queue::{MIN_RETRY_AFTER, QueueSettings, QueuedRequest, RequestQueue};
+pub use queue::{
+    Discipline, MIN_RETRY_AFTER, QueueSettings, QueuedRequest, RequestQueue, StartClass,
+};
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
 pub use stop_plan::StopPlan;
 pub use store_contact::StoreContact;
-pub use timing::{Batch, FirstEventLatency, Work, first_token_time, max_event_gap, step_time};
+pub use timing::{
+    Batch, FirstEventLatency, Work, expected_run_time, first_token_time, max_event_gap, step_time,
+};
 
 /// A name, reference-counted because many records share it.
 pub type Name = std::sync::Arc<str>;
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -22,15 +22,27 @@
     pub prefill_tokens: f64,
 }
 
-/// Estimates the time from a request's start to its first event without queueing.
+/// Estimates the time from a request's start to its first event.
 ///
-/// It is an average in which times below it weigh nine times as much as those above. The
-/// published figures leave out delays that every request has.
+/// The low estimate leaves out queueing. It is an average in which times below it weigh
+/// nine times as much as those above. The published figures leave out delays that every
+/// request has. The high estimate is an upper quantile of the last times, and so follows
+/// the load.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FirstEventLatency {
     estimate: Option<Duration>,
+    /// The last times, as a ring.
+    last: [Duration; RECENT_EVENTS],
+    recorded: usize,
 }
 
+/// Number of times from which the high estimate is taken. An entry that starts six
+/// requests per second replaces them within about 3 s, the length of a short burst.
+const RECENT_EVENTS: usize = 16;
+/// Fraction of the last times that are at or below the high estimate. A request that
+/// starts as late as the estimate allows is on time as often.
+const HIGH_QUANTILE: f64 = 0.8;
+
 /// Weight of an observation below the estimate.
 const LOWER_WEIGHT: f64 = 0.09;
 /// Weight of an observation above the estimate. It is a ninth of [`LOWER_WEIGHT`], which
@@ -53,6 +65,8 @@
             took.min(estimate * 2)
         };
         self.estimate = Some(estimate.mul_f64(1.0 - weight) + target.mul_f64(weight));
+        self.last[self.recorded % RECENT_EVENTS] = took;
+        self.recorded = self.recorded.wrapping_add(1);
     }
 
     /// Returns the estimate; zero before the first observation.
@@ -60,6 +74,17 @@
     pub fn estimate(&self) -> Duration {
         self.estimate.unwrap_or_default()
     }
+
+    /// Returns the high estimate; zero before the first observation.
+    #[must_use]
+    pub fn high_estimate(&self) -> Duration {
+        let mut last = self.last;
+        let known = &mut last[..self.recorded.min(RECENT_EVENTS)];
+        known.sort_unstable();
+        let rank = (known.len() as f64 * HIGH_QUANTILE).ceil() as usize;
+        let high = known.get(rank.saturating_sub(1)).copied();
+        high.unwrap_or_default().max(self.estimate())
+    }
 }
 
 /// Longest time that is expected of anything. Figures of a configuration may be of any size.
@@ -95,6 +120,18 @@
     prefill + pass
 }
 
+/// Returns the expected time of a request from its start to its end on a full leader.
+#[must_use]
+pub fn expected_run_time(engine: &Engine, time_factor: f64, work: Work) -> Duration {
+    let batch = Batch {
+        requests: f64::from(engine.slots),
+        prefill_tokens: 0.0,
+    };
+    let step = step_time(engine, time_factor, batch.requests);
+    let decode = step.as_secs_f64() * f64::from(work.answer_tokens);
+    first_token_time(engine, time_factor, batch, work) + bounded_seconds(decode)
+}
+
 /// Returns the largest gap between two events of a healthy leader.
 ///
 /// It is the time of a pass in which every step decodes a full batch and reads a full
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -106,9 +106,11 @@
     QueuedRequest {
         id,
         priority: 1,
+        team: 0,
         received: ms(received),
         objective: ms(objective),
         deadline: ms(deadline),
+        run: Duration::ZERO,
     }
 }
 
