Reserve starts only for classes that have waited for half a second

The expected wait of late requests is bounded too, so that one that can start after a short burst isn't sent away to come back as a new request.

--- a/crates/fleet/src/queue/overload.rs
+++ b/crates/fleet/src/queue/overload.rs
@@ -5,8 +5,8 @@
 //! less slack than its line needs is served newest first: in order of objectives every
 //! request would start at the last moment, and most would be late. Late requests follow
 //! by deadline. One start in [`RESERVED_INTERVAL`] goes to the class that has waited
-//! longest without one, so that a class is passed over by at most
-//! [`MAX_PASSED`] on-time starts for each waiting class. This answers a demand of up to
+//! longest without one, if that is at least [`MIN_STARVED_TIME`]: each waiting class adds
+//! at most [`MAX_PASSED`] on-time starts and this time to the pause of another. This answers a demand of up to
 //! twice the capacity for some seconds, as in a burst or while VMs are cut off. See
 //! `docs/design/overload-queue.md`.
 
@@ -24,6 +24,9 @@
 /// Number of on-time starts after which the reserved start no longer waits for an on-time
 /// request that it would make late.
 const MAX_PASSED: u32 = 2 * RESERVED_INTERVAL;
+/// Time without a start from which a class gets a reserved one. It is in the range of the
+/// objectives: after a short shortage, late requests wait until no on-time one does.
+const MIN_STARVED_TIME: Duration = Duration::from_millis(500);
 /// Half-life of a team's starts in its share. It is a few objectives long, so that a team
 /// which returns after a pause isn't preferred for longer than callers can wait.
 const SHARE_HALF_LIFE: Duration = Duration::from_secs(1);
@@ -31,6 +34,11 @@
 const MIN_STARTS: f64 = 0.01;
 /// Shortest time over which the rate of late starts is measured.
 const MIN_LATE_TIME: Duration = Duration::from_millis(200);
+/// Factor on the time between two starts that bounds the expected one between late starts.
+/// Most bursts are shorter than the deadlines, and after them late requests get the free
+/// slots. A caller that is refused too early comes back as a new one, and competes with
+/// requests that can be on time.
+const MAX_LATE_FACTOR: f64 = 4.0;
 /// Fraction of its objective up to which the estimate of the first event counts, so that
 /// a new request never looks late, however slow the leaders are.
 const MAX_FIRST_FRACTION: f64 = 0.75;
@@ -206,7 +214,9 @@
             return Some(turn);
         }
         let request = &view.requests[ordinary];
-        let longest = self.longest_waiting(view)?;
+        let Some(longest) = self.longest_waiting(view) else {
+            return Some(turn);
+        };
         if class == StartClass::OnTime {
             if longest == view.class(request) {
                 return Some(Turn {
@@ -247,24 +257,22 @@
         self.team_starts.get(&team).map_or(0.0, |s| s.count(now))
     }
 
-    /// Returns the class that has waited longest without a start.
+    /// Returns the class that has waited longest without a start, if that is long.
     fn longest_waiting(&self, view: &View<'_>) -> Option<Class> {
         let since = |request: &QueuedRequest| {
             let class = view.class(request);
-            (
-                self.waiting_since(class).unwrap_or(view.now),
-                request.id,
-                class,
-            )
+            (self.waiting_since(class, request), request.id, class)
         };
         let longest = view.requests.iter().map(since);
         let longest = longest.min_by_key(|(since, id, _)| (*since, *id));
+        let starved = |since: Time| view.now.since(since) >= MIN_STARVED_TIME;
+        let longest = longest.filter(|(since, _, _)| starved(*since));
         longest.map(|(_, _, class)| class)
     }
 
-    fn waiting_since(&self, class: Class) -> Option<Time> {
+    fn waiting_since(&self, class: Class, request: &QueuedRequest) -> Time {
         let known = self.waiting.iter().find(|(c, _)| *c == class);
-        known.map(|(_, since)| *since)
+        known.map_or(request.received, |(_, since)| *since)
     }
 
     /// Records the start of the request that [`Self::next`] returned. The view still
@@ -310,8 +318,7 @@
         for request in view.requests {
             let class = view.class(request);
             if waiting.iter().all(|(c, _)| *c != class) {
-                let since = self.waiting_since(class).unwrap_or(view.now);
-                waiting.push((class, since));
+                waiting.push((class, self.waiting_since(class, request)));
             }
         }
         let late = waiting.iter().any(|(class, _)| class.late);
@@ -327,7 +334,8 @@
             .map_or(Duration::ZERO, |t| view.now.since(t));
         let time = waited.clamp(MIN_LATE_TIME, WINDOW);
         let starts = self.late_starts.count(view.now) + 1;
-        time.div_f64(starts as f64).max(view.interval)
+        let most = view.interval.mul_f64(MAX_LATE_FACTOR);
+        time.div_f64(starts as f64).clamp(view.interval, most)
     }
 
     /// Returns how long a new request is expected to wait by those that go ahead of it.
