--- a/crates/fleet/tests/overload_queue.rs
+++ b/crates/fleet/tests/overload_queue.rs
@@ -134,6 +134,27 @@
     assert!(old * 10 < capacity * 8, "the replay shows no fault: {old}");
 }
 
+#[test]
+fn newest_request_starts_first_once_the_line_is_longer_than_the_slack() {
+    // The oldest request uses up the time that the first event may take beyond its
+    // estimate. With a short line it can have it, as all are on time in order.
+    let first = Duration::from_millis(100);
+    let next = |waiting: u64| {
+        let mut queue = queue(Discipline::OnTimeFirst);
+        for at in 0..100 {
+            queue.on_start(ms(at * 20));
+        }
+        for id in 0..waiting {
+            let request = CHAT.request(id, 2_000 + id);
+            queue.enqueue_by(ms(2_000 + id), first, request).unwrap();
+        }
+        queue.pop(ms(2_010), first).map(|r| r.id)
+    };
+    // The oldest has 140 ms, in which seven requests start.
+    assert_eq!(next(6), Some(0));
+    assert_eq!(next(8), Some(7));
+}
+
 #[test]
 fn team_with_most_of_the_demand_leaves_the_others_their_share() {
     // A team that sends nine tenths of the requests would get nine tenths of the starts,
