--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -85,7 +85,12 @@
             };
             let (id, waiter) = match placed {
                 LeaderChoice::Leader(..) if must_wait => {
-                    join_queue(&mut state, now, &key, request)?
+                    let joined = join_queue(&mut state, now, &key, request)?;
+                    if discipline == Discipline::OnTimeFirst {
+                        // Others may have waited until the next sweep for this leader.
+                        advance_soon(node);
+                    }
+                    joined
                 }
                 LeaderChoice::Leader(id, _) => {
                     let queue = state.queue(&key);
@@ -100,9 +105,7 @@
                     }
                     let more = !queue.waiting.is_empty();
                     if more && granted.is_some() && discipline == Discipline::OnTimeFirst {
-                        // Runs after this request has counted itself in the leader's load.
-                        let node = node.clone();
-                        tokio::task::spawn_local(async move { node.advance_queues() });
+                        advance_soon(node);
                     }
                     let found = state.roster.get(&id).cloned();
                     let waited = now.since(since);
@@ -189,6 +192,13 @@
     }
 }
 
+/// Advances the queues once this task waits. By then the request that it starts has counted
+/// itself in its leader's load.
+fn advance_soon(node: &Rc<Node>) {
+    let node = node.clone();
+    tokio::task::spawn_local(async move { node.advance_queues() });
+}
+
 /// Returns the call as its queue knows it, and sets the queue's order by the configuration.
 fn queued_request(state: &mut State, key: &ModelKey, call: &Call) -> QueuedRequest {
     let discipline = match state.catalog.is_latency_critical(&call.service) {
