Exclude leaders that reject requests or are silent

Cause: a rejected request isn't in flight, so a leader that rejects everything has the lowest known load and gets the next request of every entry. A request that hasn't begun waits twice the stall timeout, and new requests are placed at leaders whose begun streams are silent.

Change: for latency-critical services, a leader that rejects below half of its slots is unfit: suspected, excluded for a backoff of 250 ms to 2 s and then tried by one request at a time. One that rejects near its slots is full and excluded for one report interval. Leaders without an event for four passes come after the others. Unbegun requests at leaders with free slots stall after the time of begun streams. A request that unfit leaders reject gets up to four rejections.

Before: with the change switched off part by part, the tests of crates/entry fail: the rejecting leader is chosen again (no exclusion), the silent leader is chosen, the request isn't stalled after 450 ms, a pausing endpoint is unfit, 1 refusal instead of 3.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -37,6 +37,8 @@
     pub(crate) endpoint: Endpoint,
     /// Whether the request was counted against the endpoint's limit as it was chosen.
     pub(crate) counted: bool,
+    /// Whether the request tries a leader that has rejected others.
+    pub(crate) is_trial: bool,
     /// Prompt tokens, until the first event.
     prefill_tokens: Option<u32>,
     request: HeaderValue,
@@ -58,6 +60,7 @@
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let mut state = node.state.borrow_mut();
         state.on_sent(now, id, prefill_tokens);
+        let is_trial = state.fitness.on_sent(now, id, incarnation);
         let limits = &mut state.limits;
         let counted = limits.is_limited(id, incarnation) && limits.take(now, id, incarnation);
         drop(state);
@@ -66,6 +69,7 @@
             node: node.clone(),
             endpoint,
             counted,
+            is_trial,
             prefill_tokens: Some(prefill_tokens),
             request: call.id.clone(),
             fingerprint: call.fingerprint,
@@ -120,6 +124,10 @@
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
         state.on_done(&self.endpoint.id, self.prefill_tokens);
+        if self.is_trial {
+            let (id, incarnation) = (&self.endpoint.id, self.endpoint.incarnation);
+            state.fitness.on_trial_ended(id, incarnation);
+        }
         if let Some((attempt, sent)) = self.pending.take() {
             let node = &self.node;
             let now = node.now();
@@ -388,7 +396,7 @@
         in_flight.on_ended();
         let cause = match response.status() {
             StatusCode::MISDIRECTED_REQUEST => RetryCause::Misdirected,
-            _ => RetryCause::Refused,
+            _ => node.on_rejected(call, endpoint),
         };
         if cause == RetryCause::Misdirected {
             node.pool.drop_endpoint(&endpoint.id);
@@ -401,5 +409,6 @@
     if encoded || (response.status().is_success() && !stamped) {
         return Err(AttemptError::MayHaveRun(RetryCause::Broken));
     }
+    node.on_accepted(endpoint);
     Ok(())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod dialect;
 mod directory;
 mod events;
+mod fitness;
 mod groups;
 mod kept;
 mod log_output;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::{CallKind, Subject};
+use bulrushhoist_fleet::{CallKind, Rejection, Subject};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -40,6 +40,7 @@
     retries: Counter<u64>,
     broken_attempts: Counter<u64>,
     foreign_answers: Counter<u64>,
+    rejections: Counter<u64>,
     notices: Counter<u64>,
     orders: Counter<u64>,
     probes: Counter<u64>,
@@ -103,6 +104,10 @@
                 "bulrushhoist_foreign_answers",
                 "Answers of endpoints without the id of the request",
             ),
+            rejections: counter(
+                "bulrushhoist_rejections",
+                "Requests that leaders of latency-critical services rejected, by kind",
+            ),
             notices: counter(
                 "bulrushhoist_notices",
                 "Notices of endpoints about themselves, by what they say",
@@ -208,6 +213,11 @@
         self.foreign_answers.add(1, &[]);
     }
 
+    pub(crate) fn on_rejection(&self, kind: Rejection) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.rejections.add(1, &[kind]);
+    }
+
     pub(crate) fn on_notice(&self, notice: &'static str) {
         self.notices.add(1, &[KeyValue::new("notice", notice)]);
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,8 +9,8 @@
 
 use bulrushhoist_core::{Time, stable_hash};
 use bulrushhoist_fleet::{
-    AgeLimits, Endpoint, EndpointLoad, EntryInfo, Health, LeaderChoice, Membership,
-    MembershipSettings, Name, SlotLimit, SlowLeader, StopPlan, Suspicion, Work, name_key,
+    AgeLimits, Endpoint, EndpointLoad, EntryInfo, LeaderChoice, Membership, MembershipSettings,
+    Name, SlotLimit, SlowLeader, StopPlan, Suspicion, Work, name_key,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -201,23 +201,9 @@
         }
     }
 
-    /// Returns whether an endpoint with requests has sent nothing for too long. The limit
-    /// is doubled while no stream has begun and the endpoint is not suspected, because the
-    /// requests may still be in the endpoint's queue.
+    /// Returns whether an endpoint with requests has sent nothing for too long.
     pub(crate) fn is_stalled(&self, endpoint: &Name) -> bool {
-        let now = self.now();
-        let state = self.state.borrow();
-        let Some(load) = state.loads.get(endpoint).filter(|l| l.requests > 0) else {
-            return false;
-        };
-        let leader = state.roster.get(endpoint);
-        let suspected = leader.is_none_or(|e| state.health(now, e) != Health::Alive);
-        let factor = if load.streaming > 0 || suspected {
-            1
-        } else {
-            2
-        };
-        now.since(load.last_active) >= state.stall_timeout(now, endpoint) * factor
+        self.state.borrow().is_stalled(self.now(), endpoint)
     }
 
     /// Wakes queued requests that can start now, and refuses those that waited too long.
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -207,7 +207,9 @@
         let mut state = self.state.borrow_mut();
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let paused = state.pauses.remaining(now, id, incarnation).is_some();
-        if paused || state.roster.is_leaving(id, incarnation) {
+        // The request that tries an unfit leader is the one that it may get.
+        let excluded = !in_flight.is_trial && !state.fitness.may_send(now, id, incarnation);
+        if paused || excluded || state.roster.is_leaving(id, incarnation) {
             return false;
         }
         // One that was chosen before the limit was known counts, too.
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -140,6 +140,8 @@
     Unsent,
     /// The endpoint refused it without running it.
     Refused,
+    /// The leader refused it without running it although it has free slots.
+    Unfit,
     /// Another endpoint has the address now.
     Misdirected,
     /// The connection broke, or the answer was unusable.
@@ -149,3 +151,26 @@
     /// The endpoint stalled, or did not answer in time.
     Silent,
 }
+
+/// Endpoints that may refuse a stream that hasn't begun; after one more, the caller is
+/// refused.
+const MAX_REFUSALS: u8 = 1;
+/// The same if the last one is unfit: it rejects at once, so there is time for another, and
+/// several leaders may be unfit at a time. One request must not use up the retry budget.
+const MAX_UNFIT_REFUSALS: u8 = 3;
+
+impl RetryCause {
+    /// Returns how many endpoints may refuse a stream that hasn't begun if the last one did
+    /// so for this cause.
+    pub(crate) const fn max_refusals(self) -> u8 {
+        match self {
+            Self::Unfit => MAX_UNFIT_REFUSALS,
+            Self::Unsent
+            | Self::Refused
+            | Self::Misdirected
+            | Self::Broken
+            | Self::Failed
+            | Self::Silent => MAX_REFUSALS,
+        }
+    }
+}
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -183,6 +183,7 @@
     node.pool.drop_endpoint(id);
     let mut state = node.state.borrow_mut();
     state.monitor.forget(id);
+    state.fitness.forget(id);
     state.cold.remove(id);
     node.planner_wake.notify_one();
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -64,6 +64,7 @@
             .leaders(service, model)
             .filter(|e| !avoid.contains(&e.id));
         let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
+        let mut quiet: SmallVec<[Candidate; 4]> = SmallVec::new();
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
         let mut held: Option<HeldBack> = None;
         let mut rate = 0.0;
@@ -84,6 +85,7 @@
                 cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
             };
             match self.health(now, leader) {
+                Health::Alive if self.is_quiet(now, leader) => quiet.push(candidate),
                 Health::Alive => candidates.push(candidate),
                 Health::Suspect => suspects.push(candidate),
                 Health::Silent | Health::Dead => {}
@@ -99,11 +101,9 @@
             unseen_arrivals: own_rate * entries as f64 * interval,
             ..LeaderChoiceSettings::default()
         };
-        let chosen = if candidates.is_empty() {
-            &suspects[..]
-        } else {
-            &candidates[..]
-        };
+        let by_health = [&candidates[..], &quiet[..], &suspects[..]];
+        let chosen = by_health.into_iter().find(|c| !c.is_empty());
+        let chosen = chosen.unwrap_or_default();
         match held {
             Some(HeldBack::Paused(remaining)) if chosen.is_empty() => {
                 return LeaderChoice::Paused(remaining);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,7 +10,7 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Allowance, Batch, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health, HealthMonitor,
-    HealthSettings, MAX_PAUSE, Membership, Name, NamedLimits, Pauses, Quarantine,
+    HealthSettings, LeaderFitness, MAX_PAUSE, Membership, Name, NamedLimits, Pauses, Quarantine,
     QuarantineSettings, Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds,
     StoreContact, max_event_gap, name_key,
 };
@@ -42,7 +42,7 @@
 /// Why an endpoint takes no request of this entry now, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HeldBack {
-    /// It asked for a pause.
+    /// It asked for a pause, or rejected a request.
     Paused(Duration),
     /// It has reached the limit that it named.
     Limited(Duration),
@@ -117,6 +117,8 @@
     pub(crate) pauses: Pauses,
     /// Rates that endpoints name for all entries together.
     pub(crate) limits: NamedLimits,
+    /// Leaders that are excluded because they rejected requests.
+    pub(crate) fitness: LeaderFitness,
     pub(crate) contact: StoreContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
@@ -147,6 +149,7 @@
             departures: Vec::new(),
             pauses: Pauses::default(),
             limits: NamedLimits::default(),
+            fitness: LeaderFitness::default(),
             contact: StoreContact::default(),
             traffic_seen: false,
             planning: false,
@@ -157,23 +160,24 @@
 
     /// Returns the time without events after which a leader counts as stalled.
     pub(crate) fn stall_timeout(&self, now: Time, id: &str) -> Duration {
-        let Some(leader) = self.roster.get(id) else {
+        let Some((engine, time_factor)) = self.engine_times(now, id) else {
             return MIN_STALL_TIMEOUT;
         };
-        let service = self.catalog.service(&leader.service);
-        let Some(engine) = service.and_then(|s| s.engine.as_ref()) else {
-            return MIN_STALL_TIMEOUT;
-        };
-        let model = engine
-            .models
-            .iter()
-            .find(|m| Some(&m.name) == leader.model.as_ref());
-        let time_factor = model.map_or(1.0, |m| m.time_factor) * self.slowdown(now, engine, leader);
         max_event_gap(engine, time_factor)
             .mul_f64(STALL_GAP_FACTOR)
             .max(MIN_STALL_TIMEOUT)
     }
 
+    /// Returns the engine of a leader and the leader's factor on its published times.
+    pub(crate) fn engine_times(&self, now: Time, id: &str) -> Option<(&Engine, f64)> {
+        let leader = self.roster.get(id)?;
+        let engine = self.catalog.service(&leader.service)?.engine.as_ref()?;
+        let mut models = engine.models.iter();
+        let model = models.find(|m| Some(&m.name) == leader.model.as_ref());
+        let factor = model.map_or(1.0, |m| m.time_factor);
+        Some((engine, factor * self.slowdown(now, engine, leader)))
+    }
+
     /// Returns the factor by which a group is slower than its published times. Groups that
     /// span fabric domains and groups with a slow member are slower.
     pub(crate) fn slowdown(&self, now: Time, engine: &Engine, leader: &Endpoint) -> f64 {
@@ -222,6 +226,9 @@
         if let Some(remaining) = self.pauses.remaining(now, id, incarnation) {
             return Some(HeldBack::Paused(remaining));
         }
+        if let Some(remaining) = self.fitness.remaining(now, id, incarnation) {
+            return Some(HeldBack::Paused(remaining));
+        }
         match self.limits.allowance(now, id, incarnation) {
             Allowance::Free => None,
             Allowance::After(time) => Some(HeldBack::Limited(time)),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -31,9 +31,6 @@
 /// Chunks that may be queued for a slow caller. When the queue is full, the endpoint's
 /// stream is not read on, which passes the back-pressure to the endpoint.
 const MAX_QUEUED_CHUNKS: usize = 16;
-/// Endpoints that may refuse a stream that hasn't begun; after one more, the caller is
-/// refused.
-const MAX_REFUSALS: u8 = 1;
 /// Interval at which events that don't fit into the memory of bodies are tried again.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause of a begun stream while the retry budget is used up.
@@ -171,7 +168,7 @@
         };
         match cause {
             RetryCause::Unsent => {}
-            RetryCause::Refused | RetryCause::Misdirected => {
+            RetryCause::Refused | RetryCause::Unfit | RetryCause::Misdirected => {
                 progress.refusals = progress.refusals.saturating_add(1);
             }
             RetryCause::Broken | RetryCause::Silent | RetryCause::Failed => progress.runs += 1,
@@ -179,7 +176,7 @@
         if progress.runs >= call.route.max_attempts {
             return Err(GaveUp::new(refusal, CutCause::Attempts));
         }
-        if unbegun && progress.refusals > MAX_REFUSALS {
+        if unbegun && progress.refusals > cause.max_refusals() {
             return Err(GaveUp::new(refusal, CutCause::NoLeader));
         }
         node.metrics.on_retry(cause);
--- /dev/null
+++ b/crates/entry/tests/unit/fitness.rs
@@ -0,0 +1,244 @@
+//! Tests of what rejections and silent streams do to the choice of a leader.
+
+use std::time::Duration;
+
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{
+    CallKind, CallerLimits, Catalog, Endpoint, EndpointPhase, Engine, EntryInfo, GroupMembership,
+    GroupState, LeaderChoice, Membership, MembershipSettings, Model, Name, Rejection, Route,
+    Service, SlotLimit, Target, Work,
+};
+use smallvec::{SmallVec, smallvec};
+
+use crate::outcome::RetryCause;
+use crate::state::State;
+
+const SLOTS: u32 = 30;
+/// An objective that makes the service latency-critical, and one that doesn't.
+const CRITICAL_MS: u64 = 250;
+const RELAXED_MS: u64 = 800;
+
+fn ms(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn catalog(objective_ms: u64) -> Catalog {
+    let model = Model {
+        name: "chat".into(),
+        group_size: 4,
+        time_factor: 1.0,
+        share: 1.0,
+        load_time: Duration::from_secs(12),
+        warm_load_time: Duration::from_secs(1),
+    };
+    let engine = Engine {
+        slots: SLOTS,
+        kv_cache_tokens: 100_000,
+        stride: 7,
+        step_ms: 5.95,
+        per_seq_ms: 0.0445,
+        prefill_per_s: 50_700.0,
+        prefill_chunk: 512,
+        attention_ms: 0.0,
+        typical_prompt: 500.0,
+        report_lag: Duration::from_millis(200),
+        loads_per_s: 18.0,
+        max_concurrent_loads: 27,
+        max_staged: 1,
+        cross_domain_factor: 2.5,
+        open_time: Duration::from_millis(300),
+        models: vec![model],
+    };
+    let service = Service {
+        name: "engines".into(),
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        cold_per_s: 0.0,
+        engine: Some(engine),
+    };
+    let route = Route {
+        name: "chat".into(),
+        host: "shop.example".into(),
+        prefix: "/chat/".to_owned(),
+        kind: CallKind::Stream,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(objective_ms),
+        gap_objective: Duration::from_millis(200),
+        priority: 0,
+        targets: smallvec![Target {
+            service: "engines".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: true,
+        resumable: true,
+        regions: SmallVec::new(),
+    };
+    let limits = CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Catalog::new(1, vec![route], vec![service], None, limits)
+}
+
+fn leader(id: &str, incarnation: u64) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        incarnation,
+        service: "engines".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "dc-a".into(),
+        domain: "d-1".into(),
+        phase: EndpointPhase::Ready,
+        slots: SLOTS,
+        cold_remaining: Duration::ZERO,
+        staged: SmallVec::new(),
+        model: Some("chat".into()),
+        membership: Some(GroupMembership {
+            group: format!("group-{id}").into(),
+            epoch: 1,
+            rank: 0,
+            state: GroupState::Open,
+        }),
+    }
+}
+
+fn state(objective_ms: u64) -> State {
+    let own = EntryInfo {
+        name: "entry-1".into(),
+        data_centre: "dc-a".into(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        callers: "127.0.0.1:3".parse().unwrap(),
+        cpu_milli: 500,
+    };
+    let peers = Membership::new(MembershipSettings::default(), own, ms(0));
+    let mut state = State::new(1, peers);
+    state.catalog = std::rc::Rc::new(catalog(objective_ms));
+    for id in ["vm-1", "vm-2"] {
+        state.roster.put(leader(id, 1));
+    }
+    state
+}
+
+fn choose(state: &mut State, now: Time) -> LeaderChoice {
+    let key = ("engines".into(), "chat".into());
+    state.choose_leader(now, "dc-a", &key, Work::default(), SlotLimit::All, &[])
+}
+
+/// Sends requests to a leader, of which some have begun, with the last event at `now`.
+fn send(state: &mut State, now: Time, id: &Name, requests: u32, begun: u32) {
+    for n in 0..requests {
+        state.on_sent(now, id, 0);
+        if n < begun {
+            state.on_first_event(id, 0);
+        }
+    }
+}
+
+/// Guards against a leader that rejects everything and gets the next request because it has
+/// the lowest load, and against a wait without end when all leaders reject. A service that
+/// isn't latency-critical is served as before.
+#[test]
+fn a_leader_that_rejects_everything_gets_the_next_request() {
+    let (first, second) = (leader("vm-1", 1), leader("vm-2", 1));
+    let now = ms(10_000);
+    let mut state = state(CRITICAL_MS);
+    send(&mut state, now, &second.id, 12, 12);
+    send(&mut state, now, &first.id, 1, 0);
+    assert_eq!(state.on_rejected(now, &first), Some(Rejection::Unfit));
+    state.on_done(&first.id, Some(0));
+    let chosen = choose(&mut state, now);
+    assert!(
+        matches!(&chosen, LeaderChoice::Leader(id, _) if *id == second.id),
+        "{chosen:?}"
+    );
+    send(&mut state, now, &second.id, 16, 0);
+    assert_eq!(state.on_rejected(now, &second), Some(Rejection::Full));
+    let LeaderChoice::Paused(wait) = choose(&mut state, now) else {
+        panic!("a leader that rejects is used");
+    };
+    assert!(
+        !wait.is_zero() && wait <= Duration::from_millis(250),
+        "{wait:?}"
+    );
+    assert!(matches!(
+        choose(&mut state, now + wait),
+        LeaderChoice::Leader(..)
+    ));
+    let mut relaxed = self::state(RELAXED_MS);
+    assert_eq!(relaxed.on_rejected(now, &first), None);
+    assert!(matches!(
+        choose(&mut relaxed, now),
+        LeaderChoice::Leader(..)
+    ));
+}
+
+/// Guards against a healthy endpoint that is suspected because it rejects a request as it
+/// pauses or leaves, or after it has given up leading its group.
+#[test]
+fn an_endpoint_that_gives_its_reason_is_taken_for_unfit() {
+    let first = leader("vm-1", 1);
+    let now = ms(10_000);
+    let mut pausing = state(CRITICAL_MS);
+    pausing.pause(now, &first, Duration::from_secs(1));
+    assert_eq!(pausing.on_rejected(now, &first), None);
+    let mut leaving = state(CRITICAL_MS);
+    leaving.roster.set_leaving(&first.id, 1);
+    assert_eq!(leaving.on_rejected(now, &first), None);
+    let mut member = state(CRITICAL_MS);
+    let mut record = first.clone();
+    record.membership.as_mut().unwrap().rank = 1;
+    member.roster.put(record);
+    assert_eq!(member.on_rejected(now, &first), None);
+    assert_eq!(
+        state(CRITICAL_MS).on_rejected(now, &leader("vm-1", 2)),
+        None
+    );
+}
+
+/// Guards against new requests at a leader whose begun streams are silent, and against a
+/// queue while such a leader is all there is.
+#[test]
+fn a_leader_with_silent_streams_gets_new_requests() {
+    let (first, second) = (leader("vm-1", 1), leader("vm-2", 1));
+    let silent = Duration::from_millis(300);
+    let now = ms(10_000) + silent;
+    for (objective, is_used) in [(CRITICAL_MS, false), (RELAXED_MS, true)] {
+        let mut state = state(objective);
+        send(&mut state, ms(10_000), &first.id, 1, 1);
+        send(&mut state, now, &second.id, 20, 20);
+        let is_first = |chosen| matches!(chosen, LeaderChoice::Leader(id, _) if id == first.id);
+        let used = (0..40).any(|_| is_first(choose(&mut state, now)));
+        assert_eq!(used, is_used);
+        state.roster.set_leaving(&second.id, 1);
+        assert!(is_first(choose(&mut state, now)), "it is all there is");
+    }
+}
+
+/// Guards against requests that wait for 0.9 s at a stalled leader with free slots, and
+/// against those that are taken from a full one which merely queues them.
+#[test]
+fn a_request_waits_at_a_stalled_leader_as_if_it_were_queued() {
+    let first = leader("vm-1", 1);
+    let begun = Duration::from_millis(450);
+    let stalls = |objective, requests, after| {
+        let mut state = state(objective);
+        send(&mut state, ms(10_000), &first.id, requests, 0);
+        state.is_stalled(ms(10_000) + after, &first.id)
+    };
+    assert!(!stalls(CRITICAL_MS, 3, begun - Duration::from_millis(1)));
+    assert!(stalls(CRITICAL_MS, 3, begun));
+    assert!(!stalls(CRITICAL_MS, SLOTS, begun));
+    assert!(stalls(CRITICAL_MS, SLOTS, begun * 2));
+    assert!(!stalls(RELAXED_MS, 3, begun));
+}
+
+/// Guards against a request that is refused after two rejections by unfit leaders, and
+/// against one that uses up the retry budget: it gets four rejections at most.
+#[test]
+fn a_request_is_refused_after_two_unfit_leaders() {
+    assert_eq!(RetryCause::Unfit.max_refusals(), 3);
+    assert_eq!(RetryCause::Refused.max_refusals(), 1);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod copy_age;
 mod directory;
 mod endpoint;
+mod fitness;
 mod health;
 mod latency;
 mod leader_choice;
@@ -34,6 +35,7 @@
 pub use copy_age::{AgeLimits, CopyAge, Distance, Place};
 pub use directory::{DirectoryEntry, draw_addresses};
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
+pub use fitness::{LeaderFitness, Rejection, quiet_time, unbegun_stall_timeout};
 pub use health::{Health, HealthMonitor, HealthSettings};
 pub use leader_choice::{
     ASSUMED_COLD_TIME, Candidate, ColdLimiter, ColdShare, LeaderChoice, LeaderChoiceSettings,
