Use a quiet leader again whose callers read slowly

Cause: an entry doesn't read the streams of slow callers on, so a leader with only such streams looked silent for as long as they pause, and was avoided.

Change: a leader is quiet only until a stall would have been noticed. The engine's times are passed in, so that a choice computes them once for each leader.

The test of silent leaders got this case; without the bound it fails with "its streams have slow callers".

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::quarantine::{AnswerPhase, run_key};
 
 /// Interval at which a waiting request checks whether its endpoint has stalled.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(120);
+pub(crate) const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(120);
 /// Margin by which a connection is given up before the idle timeout that its endpoint
 /// announced, so that no request is sent as the endpoint closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
--- a/crates/entry/src/fitness.rs
+++ b/crates/entry/src/fitness.rs
@@ -6,10 +6,11 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    CallKind, Endpoint, Health, Name, Rejection, quiet_time, unbegun_stall_timeout,
+    CallKind, Endpoint, Engine, Health, Name, Rejection, quiet_time, unbegun_stall_timeout,
 };
 use slog::info;
 
+use crate::attempt::STALL_CHECK_INTERVAL;
 use crate::call::Call;
 use crate::node::Node;
 use crate::outcome::RetryCause;
@@ -43,18 +44,21 @@
     }
 
     /// Returns whether no begun stream of this entry at a leader has had an event for several
-    /// passes of the engine.
-    pub(crate) fn is_quiet(&self, now: Time, leader: &Endpoint) -> bool {
-        if !self.catalog.is_latency_critical(&leader.service) {
-            return false;
-        }
-        let Some(load) = self.loads.get(&leader.id).filter(|l| l.streaming > 0) else {
+    /// passes of the engine. A leader that is silent for longer than a stall takes to be noticed
+    /// and isn't suspected has streams that this entry doesn't read on, as their callers are slow.
+    pub(crate) fn is_quiet(
+        &self,
+        now: Time,
+        leader: &Name,
+        engine: &Engine,
+        time_factor: f64,
+    ) -> bool {
+        let Some(load) = self.loads.get(leader).filter(|l| l.streaming > 0) else {
             return false;
         };
-        let times = self.engine_times(now, &leader.id);
-        times.is_some_and(|(engine, time_factor)| {
-            now.since(load.last_active) >= quiet_time(engine, time_factor)
-        })
+        let silent = now.since(load.last_active);
+        silent >= quiet_time(engine, time_factor)
+            && silent < self.stall_timeout(now, leader) + STALL_CHECK_INTERVAL
     }
 
     /// Returns whether an endpoint with requests has sent nothing for too long. While no
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -64,6 +64,7 @@
             .leaders(service, model)
             .filter(|e| !avoid.contains(&e.id));
         let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
+        let critical = catalog.is_latency_critical(service);
         let mut quiet: SmallVec<[Candidate; 4]> = SmallVec::new();
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
         let mut held: Option<HeldBack> = None;
@@ -84,8 +85,11 @@
                 slowdown: self.slowdown(now, engine, leader),
                 cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
             };
+            let factor = time_factor * candidate.slowdown;
             match self.health(now, leader) {
-                Health::Alive if self.is_quiet(now, leader) => quiet.push(candidate),
+                Health::Alive if critical && self.is_quiet(now, &leader.id, engine, factor) => {
+                    quiet.push(candidate);
+                }
                 Health::Alive => candidates.push(candidate),
                 Health::Suspect => suspects.push(candidate),
                 Health::Silent | Health::Dead => {}
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -198,8 +198,9 @@
     );
 }
 
-/// Guards against new requests at a leader whose begun streams are silent, and against a
-/// queue while such a leader is all there is.
+/// Guards against new requests at a leader whose begun streams are silent, against a queue
+/// while such a leader is all there is, and against a leader that is avoided because its
+/// callers read slowly.
 #[test]
 fn a_leader_with_silent_streams_gets_new_requests() {
     let (first, second) = (leader("vm-1", 1), leader("vm-2", 1));
@@ -212,6 +213,10 @@
         let is_first = |chosen| matches!(chosen, LeaderChoice::Leader(id, _) if id == first.id);
         let used = (0..40).any(|_| is_first(choose(&mut state, now)));
         assert_eq!(used, is_used);
+        let unread = ms(10_000) + Duration::from_millis(570);
+        state.loads.get_mut(&second.id).unwrap().last_active = unread;
+        let used = (0..40).any(|_| is_first(choose(&mut state, unread)));
+        assert!(used, "its streams have slow callers");
         state.roster.set_leaving(&second.id, 1);
         assert!(is_first(choose(&mut state, now)), "it is all there is");
     }
