--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -1,14 +1,16 @@
 //! Tests of what rejections and silent streams do to the choice of a leader.
 
+#[path = "../../../fleet/tests/support/mod.rs"]
+mod support;
+
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    CallKind, CallerLimits, Catalog, Endpoint, EndpointPhase, Engine, EntryInfo, GroupMembership,
-    GroupState, LeaderChoice, Membership, MembershipSettings, Model, Name, Rejection, Route,
-    Service, SlotLimit, Target, Work,
+    CallKind, Catalog, Endpoint, EntryInfo, GroupState, LeaderChoice, Membership,
+    MembershipSettings, Name, Rejection, SlotLimit, Work,
 };
-use smallvec::{SmallVec, smallvec};
+use support::{endpoint, limits, member, ms, route, service};
 
 use crate::outcome::RetryCause;
 use crate::state::State;
@@ -18,91 +20,26 @@
 const CRITICAL_MS: u64 = 250;
 const RELAXED_MS: u64 = 800;
 
-fn ms(millis: u64) -> Time {
-    Time::from_millis(millis)
-}
-
+/// Returns a catalog with engines whose streams stall after the shortest time.
 fn catalog(objective_ms: u64) -> Catalog {
-    let model = Model {
-        name: "chat".into(),
-        group_size: 4,
-        time_factor: 1.0,
-        share: 1.0,
-        load_time: Duration::from_secs(12),
-        warm_load_time: Duration::from_secs(1),
-    };
-    let engine = Engine {
-        slots: SLOTS,
-        kv_cache_tokens: 100_000,
-        stride: 7,
-        step_ms: 5.95,
-        per_seq_ms: 0.0445,
-        prefill_per_s: 50_700.0,
-        prefill_chunk: 512,
-        attention_ms: 0.0,
-        typical_prompt: 500.0,
-        report_lag: Duration::from_millis(200),
-        loads_per_s: 18.0,
-        max_concurrent_loads: 27,
-        max_staged: 1,
-        cross_domain_factor: 2.5,
-        open_time: Duration::from_millis(300),
-        models: vec![model],
-    };
-    let service = Service {
-        name: "engines".into(),
-        health_path: "/healthz".to_owned(),
-        max_connections: 100,
-        cold_per_s: 0.0,
-        engine: Some(engine),
-    };
-    let route = Route {
-        name: "chat".into(),
-        host: "shop.example".into(),
-        prefix: "/chat/".to_owned(),
-        kind: CallKind::Stream,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_millis(objective_ms),
-        gap_objective: Duration::from_millis(200),
-        priority: 0,
-        targets: smallvec![Target {
-            service: "engines".into(),
-            weight: 1,
-        }],
-        max_attempts: 2,
-        public: true,
-        resumable: true,
-        regions: SmallVec::new(),
-    };
-    let limits = CallerLimits {
-        max_header_bytes: 16_384,
-        max_body_bytes: 1 << 20,
-        header_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    Catalog::new(1, vec![route], vec![service], None, limits)
+    let mut service = service();
+    if let Some(engine) = &mut service.engine {
+        engine.slots = SLOTS;
+        engine.prefill_chunk = 512;
+        engine.per_seq_ms = 0.0445;
+    }
+    let mut route = route("chat", "/chat/", "engines");
+    route.kind = CallKind::Stream;
+    route.objective = Duration::from_millis(objective_ms);
+    Catalog::new(1, vec![route], vec![service], None, limits())
 }
 
 fn leader(id: &str, incarnation: u64) -> Endpoint {
-    Endpoint {
-        id: id.into(),
-        incarnation,
-        service: "engines".into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: "dc-a".into(),
-        domain: "d-1".into(),
-        phase: EndpointPhase::Ready,
-        slots: SLOTS,
-        cold_remaining: Duration::ZERO,
-        staged: SmallVec::new(),
-        model: Some("chat".into()),
-        membership: Some(GroupMembership {
-            group: format!("group-{id}").into(),
-            epoch: 1,
-            rank: 0,
-            state: GroupState::Open,
-        }),
-    }
+    let mut leader = endpoint(id, "d-1");
+    leader.incarnation = incarnation;
+    leader.model = Some("large".into());
+    leader.membership = member(&format!("group-{id}"), 1, 0, GroupState::Open);
+    leader
 }
 
 fn state(objective_ms: u64) -> State {
@@ -123,7 +60,7 @@
 }
 
 fn choose(state: &mut State, now: Time) -> LeaderChoice {
-    let key = ("engines".into(), "chat".into());
+    let key = ("engines".into(), "large".into());
     state.choose_leader(now, "dc-a", &key, Work::default(), SlotLimit::All, &[])
 }
 
