--- a/crates/fleet/tests/fitness.rs
+++ b/crates/fleet/tests/fitness.rs
@@ -122,7 +122,7 @@
     most_by_one: usize,
 }
 
-/// Replays four seconds of chat requests of 1 s each at all entries, whose view is as old as
+/// Replays six seconds of chat requests of 1 s each at all entries, whose view is as old as
 /// a report.
 fn replay(with_fitness: bool) -> Replay {
     let mut rng = SmallRng::seed_from_u64(7);
@@ -140,10 +140,7 @@
     let mut suspected = vec![Vec::<(Time, usize)>::new(); LEADERS];
     let report_us = REPORT_AGE.as_micros() as u64;
     let mut replay = Replay::default();
-    for at in (2_000..6_000_000_u64)
-        .step_by(2_375)
-        .map(|us| ms(us / 1_000))
-    {
+    for at in (0..6_000_000_u64).step_by(2_375).map(|us| ms(us / 1_000)) {
         let entry = rng.random_range(0..ENTRIES);
         let seen = Time::from_micros(at.as_micros() / report_us * report_us);
         let second = Duration::from_secs(1);
