Predict leaders' loads from old reports

Cause: the choice adds the arrivals until the next report but doesn't subtract the requests that end by then, so a leader that was full gets nothing and an idle one everything. Rejected and waiting requests are released at one moment.

Change: for latency-critical services the others' requests end at the measured rate of the model, arrivals follow from the loads, and a leader is drawn by the room below the common level. Slots are kept free by the deviation of the arrivals, and entries keep to shares of the room when it is short.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -37,6 +37,8 @@
     pub(crate) endpoint: Endpoint,
     /// Whether the request was counted against the endpoint's limit as it was chosen.
     pub(crate) counted: bool,
+    /// When it was counted, just before the send.
+    started: Time,
     /// Prompt tokens, until the first event.
     prefill_tokens: Option<u32>,
     request: HeaderValue,
@@ -57,7 +59,7 @@
         let now = node.now();
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let mut state = node.state.borrow_mut();
-        state.on_sent(now, id, prefill_tokens);
+        state.on_sent(now, id, prefill_tokens, call.work);
         let limits = &mut state.limits;
         let counted = limits.is_limited(id, incarnation) && limits.take(now, id, incarnation);
         drop(state);
@@ -66,6 +68,7 @@
             node: node.clone(),
             endpoint,
             counted,
+            started: now,
             prefill_tokens: Some(prefill_tokens),
             request: call.id.clone(),
             fingerprint: call.fingerprint,
@@ -119,7 +122,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
-        state.on_done(&self.endpoint.id, self.prefill_tokens);
+        let took = self.node.now().since(self.started);
+        state.on_done(&self.endpoint.id, self.prefill_tokens, took);
         if let Some((attempt, sent)) = self.pending.take() {
             let node = &self.node;
             let now = node.now();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod relay;
 mod routing;
 mod run;
+mod sends;
 mod serve;
 mod settings;
 mod start;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,7 @@
     odd_objects: Counter<u64>,
     bytes: Counter<u64>,
     bad_datagrams: Counter<u64>,
+    sends_by_use: Counter<u64>,
     first_part: Histogram<f64>,
     waited: Histogram<f64>,
     quarantined: Gauge<u64>,
@@ -132,6 +133,10 @@
                 "bulrushhoist_bad_datagrams",
                 "Datagrams that were not understood",
             ),
+            sends_by_use: counter(
+                "bulrushhoist_sends_by_use",
+                "Sends to leaders of latency-critical services, by the predicted use of the leader's slots",
+            ),
             first_part: histogram(
                 "bulrushhoist_first_part_seconds",
                 "Time from a request's arrival to the first part of its answer",
@@ -251,6 +256,10 @@
         self.bad_datagrams.add(1, &[]);
     }
 
+    pub(crate) fn on_sends(&self, used: &'static str, count: u64) {
+        self.sends_by_use.add(count, &[KeyValue::new("use", used)]);
+    }
+
     pub(crate) fn on_wait(&self, waited: Duration) {
         self.waited.record(waited.as_secs_f64(), &[]);
     }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -8,11 +8,13 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Candidate, ColdLimiter, Engine, Health, LeaderChoice, LeaderChoiceSettings, Name,
-    PlainCandidate, PlainChoice, SlotLimit, Work, choose_leader, choose_plain_endpoint,
+    PlainCandidate, PlainChoice, RequestTimes, SlotLimit, Work, choose_leader,
+    choose_plain_endpoint, published_request_time,
 };
 use smallvec::SmallVec;
 
 use crate::queues::ModelKey;
+use crate::sends::time_factor;
 use crate::state::{COLD_RATE_FACTOR, HeldBack, MAX_LIMITED_TIME, State};
 
 impl State {
@@ -54,11 +56,7 @@
         else {
             return LeaderChoice::Unavailable;
         };
-        let time_factor = engine
-            .models
-            .iter()
-            .find(|m| m.name == *model)
-            .map_or(1.0, |m| m.time_factor);
+        let time_factor = time_factor(engine, model);
         let usable = self
             .roster
             .leaders(service, model)
@@ -79,6 +77,7 @@
             let candidate = Candidate {
                 id: leader.id.clone(),
                 batch: self.batch(now, &leader.id),
+                own: self.own_batch(&leader.id),
                 local: &*leader.data_centre == data_centre,
                 slowdown: self.slowdown(now, engine, leader),
                 cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
@@ -92,11 +91,18 @@
         let entries = self.entries(now);
         let queue = self.queues.get(key);
         let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
-        let interval = self.peers.view_age().as_secs_f64();
+        let age = self.peers.view_age();
+        let stale_view = catalog.is_latency_critical(service).then(|| {
+            let prior = published_request_time(engine, time_factor, work);
+            let times = self.request_times.get(key);
+            let unmeasured = RequestTimes::default();
+            times.unwrap_or(&unmeasured).view(now, age, prior)
+        });
         let settings = LeaderChoiceSettings {
             entries,
             // Callers choose entries at random, so each entry has about the same rate.
-            unseen_arrivals: own_rate * entries as f64 * interval,
+            unseen_arrivals: own_rate * entries as f64 * age.as_secs_f64(),
+            stale_view,
             ..LeaderChoiceSettings::default()
         };
         let chosen = if candidates.is_empty() {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -178,6 +178,9 @@
             node.metrics.set_limited(count);
         }
         node.advance_queues();
+        for (used, count) in node.state.borrow_mut().sends_by_use.take() {
+            node.metrics.on_sends(used, count);
+        }
         node.pool.sweep(now);
         let count = node.state.borrow().pauses.count(now);
         if count != paused {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,8 +11,8 @@
 use bulrushhoist_fleet::{
     Allowance, Batch, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health, HealthMonitor,
     HealthSettings, MAX_PAUSE, Membership, Name, NamedLimits, Pauses, Quarantine,
-    QuarantineSettings, Roster, SharedRetryBudget, SharedRetryBudgetSettings as RetryBounds,
-    StoreContact, max_event_gap, name_key,
+    QuarantineSettings, RequestTimes, Roster, SendsByUse, SharedRetryBudget,
+    SharedRetryBudgetSettings as RetryBounds, StoreContact, Work, max_event_gap, name_key,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -103,6 +103,11 @@
     pub(crate) has_entries: bool,
     /// Requests of this entry, by endpoint.
     pub(crate) loads: HashMap<Name, LocalLoad>,
+    /// Times of the requests of this entry, by model of the latency-critical services.
+    pub(crate) request_times: HashMap<ModelKey, RequestTimes>,
+    /// Requests that were sent to leaders of these services, by the predicted use of the
+    /// leader, since the metrics last took them.
+    pub(crate) sends_by_use: SendsByUse,
     /// Limits on the requests that this entry sends to cold endpoints, by endpoint.
     pub(crate) cold: HashMap<Name, ColdLimiter>,
     pub(crate) queues: HashMap<ModelKey, ModelQueue>,
@@ -139,6 +144,8 @@
             peers,
             has_entries: false,
             loads: HashMap::new(),
+            request_times: HashMap::new(),
+            sends_by_use: SendsByUse::default(),
             cold: HashMap::new(),
             queues: HashMap::new(),
             budgets: HashMap::new(),
@@ -198,11 +205,20 @@
 
     /// Returns the requests that all entries have in flight at an endpoint.
     pub(crate) fn batch(&self, now: Time, id: &Name) -> Batch {
-        let own = self.loads.get(id).copied().unwrap_or_default();
+        let own = self.own_batch(id);
         let (requests, prefill_tokens) = self.peers.load(now, name_key(id));
         Batch {
-            requests: f64::from(own.requests) + f64::from(requests),
-            prefill_tokens: f64::from(own.prefill_tokens) + f64::from(prefill_tokens),
+            requests: own.requests + f64::from(requests),
+            prefill_tokens: own.prefill_tokens + f64::from(prefill_tokens),
+        }
+    }
+
+    /// Returns the requests that this entry has in flight at an endpoint.
+    pub(crate) fn own_batch(&self, id: &Name) -> Batch {
+        let own = self.loads.get(id).copied().unwrap_or_default();
+        Batch {
+            requests: f64::from(own.requests),
+            prefill_tokens: f64::from(own.prefill_tokens),
         }
     }
 
@@ -258,8 +274,9 @@
         longer
     }
 
-    /// Counts a request that is sent to an endpoint.
-    pub(crate) fn on_sent(&mut self, now: Time, id: &Name, prefill_tokens: u32) {
+    /// Counts a request that is sent to an endpoint, with the unread tokens of its prompt.
+    pub(crate) fn on_sent(&mut self, now: Time, id: &Name, prefill_tokens: u32, work: Work) {
+        self.record_send(now, id, work);
         let load = self.loads.entry(id.clone()).or_default();
         if load.requests == 0 {
             load.last_active = now;
@@ -269,9 +286,12 @@
         self.cold.entry(id.clone()).or_default().on_sent(now);
     }
 
-    /// Removes an ended request from an endpoint's load. `prefill_tokens` is the number of its
-    /// prompt tokens if no event arrived.
-    pub(crate) fn on_done(&mut self, id: &Name, prefill_tokens: Option<u32>) {
+    /// Removes an ended request from an endpoint's load, `took` after its send.
+    /// `prefill_tokens` is the number of its prompt tokens if no event arrived.
+    pub(crate) fn on_done(&mut self, id: &Name, prefill_tokens: Option<u32>, took: Duration) {
+        if prefill_tokens.is_none() {
+            self.record_end(id, took);
+        }
         if let Some(load) = self.loads.get_mut(id) {
             load.requests = load.requests.saturating_sub(1);
             match prefill_tokens {
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -14,6 +14,7 @@
 use crate::Name;
 use crate::catalog::Engine;
 use crate::roster::RosterChange;
+use crate::stale_load::{LeaderLoad, SlotBounds, StaleChoice, StaleView, draw_leader};
 use crate::timing::{Batch, Work, first_token_time, step_time};
 
 /// How many of a leader's slots a request may use.
@@ -60,6 +61,9 @@
     pub decode_tokens: u32,
     /// Time that is added for a leader in another data centre.
     pub remote_penalty: Duration,
+    /// What is known about the time since the reports, for a service whose loads are
+    /// predicted; `None` compares or fills the reported loads.
+    pub stale_view: Option<StaleView>,
 }
 
 impl Default for LeaderChoiceSettings {
@@ -72,6 +76,7 @@
             jitter: 0.12,
             decode_tokens: 20,
             remote_penalty: Duration::from_millis(12),
+            stale_view: None,
         }
     }
 }
@@ -91,6 +96,8 @@
     pub id: Name,
     /// Requests and prompt tokens that all entries have in flight there.
     pub batch: Batch,
+    /// The part of the batch that this entry itself has in flight.
+    pub own: Batch,
     /// Whether it is in this entry's data centre.
     pub local: bool,
     /// Factor by which it is slower than published.
@@ -131,10 +138,30 @@
     }
     let margin = settings.slot_margin * (settings.entries as f64).sqrt();
     let margin = margin.min(MAX_SLOT_MARGIN);
-    let slots = f64::from(engine.slots) * (1.0 - margin) * slot_limit.fraction();
+    let all_slots = f64::from(engine.slots) * slot_limit.fraction();
+    let mut slots = f64::from(engine.slots) * (1.0 - margin) * slot_limit.fraction();
+    if let Some(view) = &settings.stale_view {
+        let loads: SmallVec<[LeaderLoad; 32]> = candidates.iter().map(leader_load).collect();
+        let bounds = SlotBounds {
+            slots: all_slots,
+            max_margin: all_slots - slots,
+            entries: settings.entries,
+        };
+        match draw_leader(view, engine, time_factor, &loads, work, bounds, rng) {
+            StaleChoice::Leader(index) => {
+                let leader = &candidates[index];
+                let time_factor = time_factor * leader.slowdown;
+                let first = first_token_time(engine, time_factor, leader.batch, work);
+                return LeaderChoice::Leader(leader.id.clone(), first);
+            }
+            StaleChoice::Compare(usable) => slots = usable,
+            StaleChoice::Full => return LeaderChoice::Full,
+        }
+    }
     let is_free = |c: &&Candidate| !c.cold_limited && c.batch.requests < slots;
     let mut free: SmallVec<[&Candidate; 16]> = candidates.iter().filter(is_free).collect();
-    if !free.is_empty() && settings.unseen_arrivals / free.len() as f64 > MAX_UNSEEN_PER_LEADER {
+    let filled = settings.stale_view.is_none() && !free.is_empty();
+    if filled && settings.unseen_arrivals / free.len() as f64 > MAX_UNSEEN_PER_LEADER {
         let leader = choose_by_water_filling(settings.unseen_arrivals, &mut free, rng);
         let time_factor = time_factor * leader.slowdown;
         let first = first_token_time(engine, time_factor, leader.batch, work);
@@ -172,6 +199,19 @@
     }
 }
 
+fn leader_load(candidate: &Candidate) -> LeaderLoad {
+    let (all, own) = (candidate.batch, candidate.own);
+    LeaderLoad {
+        others: Batch {
+            requests: (all.requests - own.requests).max(0.0),
+            prefill_tokens: (all.prefill_tokens - own.prefill_tokens).max(0.0),
+        },
+        own,
+        slowdown: candidate.slowdown,
+        usable: !candidate.cold_limited,
+    }
+}
+
 /// Number of requests per leader between two updates of a peer above which the leader is
 /// chosen by water-filling instead of comparison. With more, the least loaded leader of the
 /// last update soon has more load than the others, and many entries would still send to it.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod queue;
 mod retry_budget;
 mod roster;
+mod stale_load;
 mod stop_plan;
 mod store_contact;
 mod timing;
@@ -57,6 +58,7 @@
 pub use queue::{MIN_RETRY_AFTER, QueueSettings, QueuedRequest, RequestQueue};
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
+pub use stale_load::{RequestTimes, SendsByUse, StaleView, published_request_time};
 pub use stop_plan::StopPlan;
 pub use store_contact::StoreContact;
 pub use timing::{Batch, FirstEventLatency, Work, first_token_time, max_event_gap, step_time};
--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -21,6 +21,7 @@
             requests,
             prefill_tokens: 0.0,
         },
+        own: Batch::default(),
         local: true,
         slowdown: 1.0,
         cold_limited: false,
--- a/crates/load/src/leader_cost.rs
+++ b/crates/load/src/leader_cost.rs
@@ -62,6 +62,7 @@
                     requests: f64::from(requests),
                     prefill_tokens: f64::from(tokens),
                 },
+                own: Batch::default(),
                 local: true,
                 slowdown: membership.slowdown(name_key(name)),
                 cold_limited: false,
