--- a/crates/fleet/src/stale_load.rs
+++ b/crates/fleet/src/stale_load.rs
@@ -32,6 +32,9 @@
 /// Largest growth of the start rate that is extrapolated to the other entries. Bursts
 /// multiply the demand by up to 2.5.
 const MAX_GROWTH: f64 = 2.5;
+/// Standard deviations by which the start rate must have grown. With one, the few starts of
+/// a small entry would often look like a burst.
+const GROWTH_DEVIATIONS: f64 = 2.0;
 /// Arrivals per leader during a report's age up to which leaders are compared by expected
 /// times. With fewer, the report's least loaded leader is still one of the least loaded.
 const MAX_COMPARED_ARRIVALS: f64 = 1.0;
@@ -117,7 +120,7 @@
         let starts = self.starts.iter().rev().skip(recent);
         let usual = starts.take_while(|t| now.since(**t) <= span).count() as f64 / before;
         let recent = recent as f64;
-        let certain = (recent - recent.sqrt()) / age.as_secs_f64();
+        let certain = (recent - GROWTH_DEVIATIONS * recent.sqrt()) / age.as_secs_f64();
         match usual > 0.0 {
             true => (certain / usual).clamp(1.0, MAX_GROWTH),
             false => 1.0,
