--- a/crates/fleet/tests/load.rs
+++ b/crates/fleet/tests/load.rs
@@ -390,3 +390,42 @@
     assert!(matches!(choose(6.0), LeaderChoice::Leader(..)));
     assert_eq!(choose(6.5), LeaderChoice::Full);
 }
+
+#[test]
+fn choices_without_prediction_are_unchanged() {
+    // Guards services whose loads aren't predicted against other choices or random draws than
+    // before the prediction was added. The sequences are of the build before it.
+    let loads = [1.0, 6.0, 3.0, 7.0, 2.0, 0.0, 4.0, 2.5];
+    let leaders = loads.iter().enumerate();
+    let leaders: Vec<Candidate> = leaders
+        .map(|(i, load)| candidate(&i.to_string(), *load))
+        .collect();
+    let sequence = |entries, unseen_arrivals, slot_limit| {
+        let settings = LeaderChoiceSettings {
+            entries,
+            unseen_arrivals,
+            ..LeaderChoiceSettings::default()
+        };
+        let mut rng = SmallRng::seed_from_u64(5);
+        let mut draw = || {
+            let work = Work::default();
+            let engine = engine();
+            match choose_leader(
+                &settings, &engine, 1.0, &leaders, work, slot_limit, &mut rng,
+            ) {
+                LeaderChoice::Leader(id, _) => id.to_string(),
+                other => format!("{other:?}"),
+            }
+        };
+        (0..24).map(|_| draw()).collect::<String>()
+    };
+    assert_eq!(sequence(7, 0.0, SlotLimit::All), "754545074405555455555445");
+    assert_eq!(
+        sequence(73, 0.0, SlotLimit::Unreserved),
+        "250560004477064202070742"
+    );
+    assert_eq!(
+        sequence(130, 60.0, SlotLimit::All),
+        "075572456666147122574024"
+    );
+}
