--- a/crates/fleet/tests/stale_load.rs
+++ b/crates/fleet/tests/stale_load.rs
@@ -466,7 +466,7 @@
                         predicts,
                     };
                     let o = replay.run(if emptied { 3 } else { 10 });
-                    println!(
+                    eprintln!(
                         "| {entries} | {kind} | {used} | {} | {:.2} | {} | {} of {} | {:.2} | {:.1} |",
                         if predicts { "new" } else { "old" },
                         o.spread,
