--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -39,6 +39,8 @@
     pub(crate) counted: bool,
     /// Whether the request tries a leader that has rejected others.
     pub(crate) is_trial: bool,
+    /// When it was counted, just before the send.
+    started: Time,
     /// Prompt tokens, until the first event.
     prefill_tokens: Option<u32>,
     request: HeaderValue,
@@ -59,7 +61,7 @@
         let now = node.now();
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let mut state = node.state.borrow_mut();
-        state.on_sent(now, id, prefill_tokens);
+        state.on_sent(now, id, prefill_tokens, call.work);
         let is_trial = state.fitness.on_sent(now, id, incarnation);
         let limits = &mut state.limits;
         let counted = limits.is_limited(id, incarnation) && limits.take(now, id, incarnation);
@@ -70,6 +72,7 @@
             endpoint,
             counted,
             is_trial,
+            started: now,
             prefill_tokens: Some(prefill_tokens),
             request: call.id.clone(),
             fingerprint: call.fingerprint,
@@ -123,7 +126,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
-        state.on_done(&self.endpoint.id, self.prefill_tokens);
+        let took = self.node.now().since(self.started);
+        state.on_done(&self.endpoint.id, self.prefill_tokens, took);
         if self.is_trial {
             let (id, incarnation) = (&self.endpoint.id, self.endpoint.incarnation);
             state.fitness.on_trial_ended(id, incarnation);
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -67,7 +67,7 @@
 /// Sends requests to a leader, of which some have begun, with the last event at `now`.
 fn send(state: &mut State, now: Time, id: &Name, requests: u32, begun: u32) {
     for n in 0..requests {
-        state.on_sent(now, id, 0);
+        state.on_sent(now, id, 0, Work::default());
         if n < begun {
             state.on_first_event(id, 0);
         }
@@ -85,7 +85,7 @@
     send(&mut state, now, &second.id, 12, 12);
     send(&mut state, now, &first.id, 1, 0);
     assert_eq!(state.on_rejected(now, &first), Some(Rejection::Unfit));
-    state.on_done(&first.id, Some(0));
+    state.on_done(&first.id, Some(0), Duration::ZERO);
     let chosen = choose(&mut state, now);
     assert!(
         matches!(&chosen, LeaderChoice::Leader(id, _) if *id == second.id),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod queue;
 mod retry_budget;
 mod roster;
+mod stale_load;
 mod stop_plan;
 mod store_contact;
 mod timing;
@@ -61,6 +62,7 @@
 };
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
+pub use stale_load::{RequestTimes, SendsByUse, StaleView, published_request_time};
 pub use stop_plan::StopPlan;
 pub use store_contact::StoreContact;
 pub use timing::{
--- a/crates/fleet/tests/fitness.rs
+++ b/crates/fleet/tests/fitness.rs
@@ -166,6 +166,7 @@
                             requests: starts[l].iter().filter(of_report).count() as f64,
                             prefill_tokens: 0.0,
                         },
+                        own: Batch::default(),
                         local: true,
                         slowdown: 1.0,
                         cold_limited: false,
