Form groups of spares while demand is high

Cause: VMs are divided among models by their published shares only, and the spares of each domain (30 of 222) idle through bursts while leaders reject requests.

Change: the planning entry adds up the requests in flight per model from the reports, smooths them over 2 s and hands them to the planner as Demand, for latency-critical services only. A model whose demand exceeds half of the slots of its open groups gets surge groups of spares that have its weights, marked in the stored plan. Before there are callers, spares are preloaded so that such a group fits. A wanted group that is missing, or lost a member without a spare in its domain, exchanges roles with a surge group of its model; groups in excess of the wanted number become surge groups. The field is left out of the plan when false.

No run of a whole deployment was made.

Planner::step has a parameter more, so the tests of the planner pass None. groups_world also checks that no VM is planned into two groups, and that surge groups change.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -5,19 +5,20 @@
 //! whether the write took effect.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Catalog, Endpoint, GroupPlan, Health, LoadLimits, Name, Order, Plan, Planner, PlannerAction,
-    PlannerSettings, vm_views,
+    Catalog, Demand, Endpoint, GroupPlan, Health, LoadLimits, Name, Order, Plan, Planner,
+    PlannerAction, PlannerSettings, vm_views,
 };
 use slog::{debug, info, warn};
 use tokio::task::spawn_local;
 
 use crate::control::ControlConnections;
+use crate::demand;
 use crate::dialect::ObjectKind;
 use crate::node::Node;
 use crate::peers;
@@ -61,6 +62,9 @@
     planner: RefCell<Planner>,
     /// When each VM was last probed.
     probed: RefCell<BTreeMap<Name, Time>>,
+    /// Demand for the models of each latency-critical service. One that is older than its
+    /// smoothing time no longer counts, so it needs no reset when this entry stops planning.
+    demands: RefCell<HashMap<Name, Demand>>,
 }
 
 /// Runs the planner until the process ends, in the periods in which this entry plans.
@@ -70,6 +74,7 @@
         connections: ControlConnections::default(),
         planner: RefCell::new(Planner::new(PlannerSettings::default())),
         probed: RefCell::default(),
+        demands: RefCell::default(),
     });
     let mut stored: Option<StoredPlan> = None;
     let mut eligible_since: Option<Time> = None;
@@ -213,9 +218,15 @@
         let Some(service) = catalog.service(service) else {
             return PlannerAction::Orders(Vec::new());
         };
+        let mut demands = self.demands.borrow_mut();
+        let demand = catalog.is_latency_critical(&service.name).then(|| {
+            let demand = demands.entry(service.name.clone()).or_default();
+            demand::sample(node, &state, now, service, demand);
+            &*demand
+        });
         self.planner
             .borrow_mut()
-            .step(now, service, plan, &views, limits)
+            .step(now, service, plan, &views, limits, demand)
     }
 
     /// Writes a plan unless another entry has written one since the last read.
@@ -252,7 +263,7 @@
         let log = &self.node.log;
         for group in new.groups.iter().filter(|g| !old.groups.contains(g)) {
             let members: Vec<&str> = group.members.iter().map(|m| m.id.as_str()).collect();
-            info!(log, "group planned"; "group" => &group.name, "model" => &group.model, "epoch" => group.epoch, "members" => members.join(","));
+            info!(log, "group planned"; "group" => &group.name, "model" => &group.model, "epoch" => group.epoch, "members" => members.join(","), "surge" => group.surge);
         }
         let kept = |g: &&GroupPlan| new.groups.iter().any(|n| n.name == g.name);
         for group in old.groups.iter().filter(|g| !kept(g)) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod control;
 mod cursor;
+mod demand;
 mod dialect;
 mod directory;
 mod events;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -56,6 +56,7 @@
     limited: Gauge<u64>,
     version: Gauge<u64>,
     copy_age: Gauge<f64>,
+    demand: Gauge<f64>,
 }
 
 /// Bucket boundaries of the latency histograms, in seconds.
@@ -164,6 +165,10 @@
                 .f64_gauge("bulrushhoist_copy_age_seconds")
                 .with_description("Time since the store gave this entry's copy, by kind of object")
                 .build(),
+            demand: meter
+                .f64_gauge("bulrushhoist_demand")
+                .with_description("Requests in flight by slots of open groups, smoothed, as the planning entry sees them")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -281,6 +286,14 @@
         self.copy_age.record(age.as_secs_f64(), &[kind]);
     }
 
+    pub(crate) fn set_demand(&self, service: &str, model: &str, fraction: f64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("model", model.to_owned()),
+        ];
+        self.demand.record(fraction, &labels);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub(crate) fn export(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod catalog;
 mod copy_age;
+mod demand;
 mod directory;
 mod endpoint;
 mod health;
@@ -32,6 +33,7 @@
     CallKind, CallerLimits, Catalog, Denial, Engine, Model, Route, Service, Target, Team,
 };
 pub use copy_age::{AgeLimits, CopyAge, Distance, Place};
+pub use demand::Demand;
 pub use directory::{DirectoryEntry, draw_addresses};
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
 pub use health::{Health, HealthMonitor, HealthSettings};
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -33,9 +33,24 @@
     /// opened. A VM whose last group had the same model joins its next one quickly.
     #[serde(default)]
     pub standby: bool,
+    /// Whether the group was formed of spares for a high demand, in addition to the wanted
+    /// groups. Builds that don't know the field take such a group for a wanted one.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub surge: bool,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde requires.
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 impl GroupPlan {
+    /// Returns whether the group counts towards the wanted number of its model.
+    #[must_use]
+    pub const fn is_wanted(&self) -> bool {
+        !self.standby && !self.surge
+    }
+
     /// Returns whether a VM is a member.
     #[must_use]
     pub fn has_member(&self, id: &str) -> bool {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -18,6 +18,7 @@
 mod free;
 mod repair;
 mod standby;
+mod surge;
 mod view;
 
 use std::collections::HashMap;
@@ -28,6 +29,7 @@
 
 use crate::Name;
 use crate::catalog::{Engine, Model, Service};
+use crate::demand::Demand;
 use crate::endpoint::{Endpoint, GroupMembership, GroupState};
 use crate::orders::{Order, OrderAnswer, OrderKind};
 use crate::plan::{GroupPlan, Plan};
@@ -163,7 +165,8 @@
         self.unplanned_since.clear();
     }
 
-    /// Decides what to do next for one service.
+    /// Decides what to do next for one service. Without a demand, spares form no surge
+    /// groups.
     pub fn step(
         &mut self,
         now: Time,
@@ -171,6 +174,7 @@
         plan: &Plan,
         views: &[VmView<'_>],
         limits: LoadLimits,
+        demand: Option<&Demand>,
     ) -> PlannerAction {
         let Some(engine) = &service.engine else {
             return PlannerAction::Orders(Vec::new());
@@ -199,6 +203,7 @@
             plan,
             &vms,
             eligibility,
+            demand,
         );
         if let Some(plan) = revised {
             return PlannerAction::Store(plan);
--- a/crates/fleet/src/planner/consolidate.rs
+++ b/crates/fleet/src/planner/consolidate.rs
@@ -42,7 +42,7 @@
     let mut outcome = Consolidation::Nothing;
     for model in &engine.models {
         let of_model =
-            |g: &GroupPlan| !g.standby && g.service == service && *g.model == *model.name;
+            |g: &GroupPlan| g.is_wanted() && g.service == service && *g.model == *model.name;
         let groups: Vec<&GroupPlan> = plan.groups.iter().filter(|g| of_model(g)).collect();
         let closed = groups.iter().filter(|g| !is_open(vms, g)).count();
         let max_closed = (groups.len() as f64 * MAX_CLOSED_FRACTION).ceil() as usize;
@@ -65,7 +65,7 @@
     outcome
 }
 
-fn is_open(vms: &Vms<'_>, group: &GroupPlan) -> bool {
+pub(super) fn is_open(vms: &Vms<'_>, group: &GroupPlan) -> bool {
     let leader = vms.get(group.members[0].id.as_str());
     leader
         .is_some_and(|v| v.is_in(group) && v.membership().is_some_and(GroupMembership::is_serving))
--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -6,8 +6,9 @@
 use smallvec::SmallVec;
 
 use super::free::{FreeVms, member, missing_groups, wanted_groups};
-use super::{Eligibility, PlannerSettings, VmView, Vms, consolidate, repair, standby};
+use super::{Eligibility, PlannerSettings, VmView, Vms, consolidate, repair, standby, surge};
 use crate::catalog::{Engine, Model};
+use crate::demand::Demand;
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
 /// Returns a revised plan, or `None` if the current one needs no change.
@@ -18,13 +19,29 @@
     plan: &Plan,
     vms: &Vms<'_>,
     eligibility: Eligibility,
+    demand: Option<&Demand>,
 ) -> Option<Plan> {
     let mut next = plan.clone();
     set_wanted(settings, engine, vms, &mut next);
+    surge::give_up_broken(engine, service, vms, &mut next);
     repair::repair(engine, service, vms, &mut next, eligibility);
+    surge::adopt(engine, service, vms, &mut next);
     form(engine, service, vms, &mut next, eligibility);
     let consolidation = consolidate::consolidate(engine, service, vms, &mut next);
-    standby::assign_standby(engine, service, vms, &mut next, consolidation);
+    let mut targets = surge::SpareTargets::default();
+    if let Some(demand) = demand {
+        surge::mark_excess(engine, service, vms, &mut next);
+        // Groups that are about to be consolidated need the spares.
+        if consolidation == consolidate::Consolidation::Nothing {
+            surge::form(engine, service, vms, &mut next, demand);
+        }
+        targets = surge::SpareTargets::find(engine, service, vms, &next);
+    }
+    let preload = standby::Preload {
+        targets,
+        eligibility,
+    };
+    standby::assign_standby(engine, service, vms, &mut next, consolidation, &preload);
     if next == *plan {
         return None;
     }
@@ -132,6 +149,7 @@
             epoch,
             members,
             standby: false,
+            surge: false,
         });
     }
 }
@@ -157,7 +175,7 @@
             per_domain: BTreeMap::new(),
         };
         let own = plan.groups.iter();
-        for group in own.filter(|g| !g.standby && *g.model == *model.name) {
+        for group in own.filter(|g| g.is_wanted() && *g.model == *model.name) {
             found.count_leader(vms, &group.members);
         }
         found
@@ -261,8 +279,8 @@
     }
 }
 
-/// Sorts groups by the number of members that still have to load the weights, standby groups
-/// last. As only few loads run at a time, groups become complete one after the other.
+/// Sorts groups by the number of members that still have to load the weights, surge groups
+/// after wanted ones and standby groups last. As only few loads run at a time, groups become complete one after the other.
 pub(super) fn sort_by_unstaged<'p>(
     groups: impl Iterator<Item = &'p GroupPlan>,
     vms: &Vms<'_>,
@@ -273,6 +291,6 @@
         g.members.len() - members.filter(done).count()
     };
     let mut sorted: Vec<&GroupPlan> = groups.collect();
-    sorted.sort_by_key(|g| (g.standby, unstaged(g), g.epoch));
+    sorted.sort_by_key(|g| (g.standby, g.surge, unstaged(g), g.epoch));
     sorted
 }
--- a/crates/fleet/src/planner/free.rs
+++ b/crates/fleet/src/planner/free.rs
@@ -73,12 +73,16 @@
 /// Returns the number of a model's wanted groups that are missing. Groups in data
 /// centres that are out of service count as missing.
 pub(super) fn missing_groups(model: &Model, vms: &Vms<'_>, plan: &Plan) -> usize {
+    wanted_groups(model, plan).saturating_sub(present_groups(model, vms, plan))
+}
+
+/// Returns the number of a model's groups that count as wanted ones and are in service.
+pub(super) fn present_groups(model: &Model, vms: &Vms<'_>, plan: &Plan) -> usize {
     let in_service = |g: &&GroupPlan| {
         let mut members = g.members.iter().filter_map(|m| vms.get(m.id.as_str()));
-        !g.standby && *g.model == *model.name && members.all(|v| !v.evacuated)
+        g.is_wanted() && *g.model == *model.name && members.all(|v| !v.evacuated)
     };
-    let present = plan.groups.iter().filter(in_service).count();
-    wanted_groups(model, plan).saturating_sub(present)
+    plan.groups.iter().filter(in_service).count()
 }
 
 /// Returns the number of groups that a model should have.
--- a/crates/fleet/src/planner/repair.rs
+++ b/crates/fleet/src/planner/repair.rs
@@ -1,7 +1,7 @@
 //! Repairs groups that lose members.
 
 use super::free::{FreeVms, member};
-use super::{Eligibility, VmView, Vms};
+use super::{Eligibility, VmView, Vms, surge};
 use crate::catalog::Engine;
 use crate::endpoint::EndpointPhase;
 use crate::plan::{GroupPlan, MemberPlan, Plan};
@@ -16,7 +16,7 @@
 ) {
     let mut index = 0;
     while index < plan.groups.len() {
-        if plan.groups[index].service != service || plan.groups[index].standby {
+        if plan.groups[index].service != service || !plan.groups[index].is_wanted() {
             index += 1;
             continue;
         }
@@ -33,6 +33,10 @@
             Repair::Remove => {
                 plan.groups.remove(index);
             }
+            Repair::Substitute(surge) => {
+                plan.groups[surge].surge = false;
+                plan.groups.remove(index);
+            }
         }
     }
 }
@@ -45,6 +49,8 @@
     Replace(Vec<MemberPlan>),
     /// It is removed from the plan.
     Remove,
+    /// The surge group at this index takes its place, and its members become spares.
+    Substitute(usize),
 }
 
 /// Decides how to repair the group at this index of the plan.
@@ -90,6 +96,12 @@
     };
     let domain = &vms[anchor.id.as_str()].endpoint.domain;
     let spares = spares_for(vms, plan, domain, &group.model, eligibility);
+    let nearby = |v: &&&VmView<'_>| v.endpoint.domain == *domain && v.has_staged(&group.model);
+    if spares.iter().filter(nearby).count() < missing
+        && let Some(substitute) = surge::find_complete(vms, plan, group, domain)
+    {
+        return Repair::Substitute(substitute);
+    }
     if spares.len() < missing {
         let leader_leaves = group.members[0].id != anchor.id;
         let may_stay = lost == 0 && !leader_leaves;
--- a/crates/fleet/src/planner/standby.rs
+++ b/crates/fleet/src/planner/standby.rs
@@ -4,15 +4,25 @@
 
 use super::consolidate::Consolidation;
 use super::free::{FreeVms, member, member_ids, missing_groups};
-use super::{VmView, Vms};
+use super::surge::SpareTargets;
+use super::{Eligibility, VmView, Vms};
 use crate::catalog::{Engine, Model};
 use crate::endpoint::{Endpoint, GroupMembership};
 use crate::plan::{GroupPlan, MemberPlan, Plan};
 
+/// Which weights spares load in advance for surge groups.
+pub(super) struct Preload {
+    pub(super) targets: SpareTargets,
+    /// Whether callers have sent requests. Before that, a target decides over the weights
+    /// that a host has, because loads are short.
+    pub(super) eligibility: Eligibility,
+}
+
 /// Assigns a model to every spare VM, to be kept loaded.
 ///
 /// It is one that a group needs in this domain, else the one whose weights are on the
-/// VM's host, else the one with the most members per spare in the domain. While groups
+/// VM's host, else one that a surge group needs there, else the one with the most members
+/// per spare in the domain. While groups
 /// can be consolidated, the needs of groups are left out.
 pub(super) fn assign_standby(
     engine: &Engine,
@@ -20,6 +30,7 @@
     vms: &Vms<'_>,
     plan: &mut Plan,
     consolidation: Consolidation,
+    preload: &Preload,
 ) {
     let usable = |m: &MemberPlan| {
         let vm = vms.get(m.id.as_str());
@@ -34,9 +45,14 @@
     for vm in idle_vms(vms, plan) {
         let domain = &*vm.endpoint.domain;
         let need = |m: &&Model| {
+            let spares = counts.spares(domain, &m.name);
+            let below_target = spares < preload.targets.of(domain, &m.name);
+            let first = preload.eligibility == Eligibility::Any && below_target;
             (
                 needs.unmet(&counts, domain, &m.name),
+                first,
                 vm.has_staged(&m.name),
+                below_target,
                 counts.members_per_spare(domain, &m.name),
             )
         };
@@ -52,6 +68,7 @@
             epoch,
             members: vec![member(&vm)],
             standby: true,
+            surge: false,
         });
     }
 }
@@ -120,7 +137,7 @@
         let own = plan
             .groups
             .iter()
-            .filter(|g| !g.standby && g.service == service);
+            .filter(|g| g.is_wanted() && g.service == service);
         for group in own {
             let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
             for member in &group.members {
--- a/crates/fleet/tests/groups_world.rs
+++ b/crates/fleet/tests/groups_world.rs
@@ -2,7 +2,8 @@
 //! do, two planners with outdated views, and checks that see the true state of every VM.
 //!
 //! Checked invariants: no VM joins another group while the leader of its group is open,
-//! and a leader opens only if every member was ready for that epoch.
+//! a leader opens only if every member was ready for that epoch, and no VM is planned into
+//! two groups. In every other run the demand swings, so that surge groups come and go.
 
 mod support;
 #[path = "groups_world/vm.rs"]
@@ -12,8 +13,8 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    EndpointPhase, GroupMembership, GroupState, LoadLimits, Name, Order, OrderAnswer, OrderKind,
-    Plan, PlannerAction, vm_views,
+    Demand, EndpointPhase, GroupMembership, GroupState, LoadLimits, Name, Order, OrderAnswer,
+    OrderKind, Plan, PlannerAction, vm_views,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -43,6 +44,10 @@
     ready: BTreeMap<(Name, u64), BTreeSet<Name>>,
     /// Number of times that a group opened.
     opened: u64,
+    /// Demand for the models, if spares may form surge groups.
+    demand: Option<Demand>,
+    /// Number of plans stored with another number of surge groups than the one before.
+    surges: u64,
     /// Index of the entry that plans.
     planning_entry: usize,
     /// Log of events, to explain a violated invariant.
@@ -66,6 +71,8 @@
             delayed: Vec::new(),
             ready: BTreeMap::new(),
             opened: 0,
+            demand: (seed % 2 == 1).then(Demand::default),
+            surges: 0,
             planning_entry: 0,
             trace: Vec::new(),
         }
@@ -253,8 +260,16 @@
             traffic_seen: self.now > 5_000,
             rate_fraction: 0.9,
         };
+        if let Some(demand) = self.demand.as_mut().filter(|d| d.is_due(now)) {
+            let phase = self.now as f64 / 7_000.0 * std::f64::consts::TAU;
+            let load = 40.0 * (1.0 + phase.sin());
+            demand.observe(now, [("large".into(), load / 2.0), ("small".into(), load)]);
+        }
+        let demand = self.demand.as_ref();
         let views = vm_views(now, "engines", &entry.roster, &entry.monitor);
-        let action = entry.planner.step(now, &service(), &plan, &views, limits);
+        let action = entry
+            .planner
+            .step(now, &service(), &plan, &views, limits, demand);
         match action {
             PlannerAction::Store(next) => {
                 self.trace.push(format!(
@@ -264,6 +279,11 @@
                 // The write fails if the other planner has written since; the plan is read
                 // again either way.
                 if revision == self.stored.1 {
+                    let mut seen = BTreeSet::new();
+                    let mut ids = next.groups.iter().flat_map(|g| &g.members).map(|m| &m.id);
+                    assert!(ids.all(|id| seen.insert(id)), "one VM twice: {next:#?}");
+                    let surge = |p: &Plan| p.groups.iter().filter(|g| g.surge).count();
+                    self.surges += u64::from(surge(&next) != surge(&self.stored.0));
                     self.stored = (next, revision + 1);
                 }
                 entry.plan = None;
@@ -438,13 +458,19 @@
     // orders arrive late, VMs or entries restart, or two entries plan with outdated views.
     let cases = std::env::var("BULRUSHHOIST_FUZZ_CASES");
     let cases = cases.ok().and_then(|n| n.parse().ok()).unwrap_or(120);
-    let mut opened = 0;
+    let (mut opened, mut surges) = (0, 0);
     for seed in 0..cases {
-        let result = std::panic::catch_unwind(|| run(seed).opened);
-        opened += result.unwrap_or_else(|_| panic!("seed {seed}"));
+        let result = std::panic::catch_unwind(|| run(seed));
+        let world = result.unwrap_or_else(|_| panic!("seed {seed}"));
+        opened += world.opened;
+        surges += world.surges;
     }
     assert!(
         opened > cases * 5,
         "few groups opened: {opened} in {cases} runs"
     );
+    assert!(
+        surges >= cases / 6,
+        "few surge groups: {surges} changes in {cases} runs"
+    );
 }
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -58,6 +58,7 @@
             epoch,
             members: members.collect(),
             standby: false,
+            surge: false,
         });
     }
 
@@ -78,6 +79,7 @@
                 incarnation: 1,
             }],
             standby: true,
+            surge: false,
         });
     }
 
@@ -89,7 +91,7 @@
             traffic_seen: true,
             rate_fraction: 0.9,
         };
-        match planner.step(now, &service(), &self.plan, &views, limits) {
+        match planner.step(now, &service(), &self.plan, &views, limits, None) {
             PlannerAction::Store(plan) => plan,
             _ => self.plan.clone(),
         }
@@ -230,7 +232,7 @@
     let mut plan = Plan::default();
     for at in [0, 1_000] {
         let views = vm_views(ms(NOW_MS + at), "engines", &fleet.roster, &fleet.monitor);
-        let action = planner.step(ms(NOW_MS + at), &service(), &plan, &views, limits);
+        let action = planner.step(ms(NOW_MS + at), &service(), &plan, &views, limits, None);
         if let PlannerAction::Store(next) = action {
             plan = next;
         }
@@ -273,7 +275,7 @@
         traffic_seen: true,
         rate_fraction: 0.9,
     };
-    let action = planner.step(ms(NOW_MS), &service(), &fleet.plan, &views, limits);
+    let action = planner.step(ms(NOW_MS), &service(), &fleet.plan, &views, limits, None);
     let PlannerAction::Orders(orders) = action else {
         panic!("the plan needs no change: {action:?}");
     };
@@ -313,7 +315,7 @@
     for at in (0..5_000).step_by(100) {
         let now = ms(NOW_MS + at);
         let views = vm_views(now, "engines", &fleet.roster, &fleet.monitor);
-        match planner.step(now, &service(), &plan, &views, limits) {
+        match planner.step(now, &service(), &plan, &views, limits, None) {
             PlannerAction::Store(next) => plan = next,
             PlannerAction::Orders(orders) => {
                 let joins = orders.iter().filter(|o| o.kind.label() == "join");
--- a/crates/fleet/tests/planner_size.rs
+++ b/crates/fleet/tests/planner_size.rs
@@ -46,7 +46,7 @@
     };
     for now in [Time::ZERO + SETTLED, Time::ZERO + SETTLED * 2] {
         let views = vm_views(now, "engines", roster, &monitor);
-        let action = planner.step(now, service, &Plan::default(), &views, limits);
+        let action = planner.step(now, service, &Plan::default(), &views, limits, None);
         if let PlannerAction::Store(plan) = action {
             return plan;
         }
