Keep the connections of callers that read late

TCP_USER_TIMEOUT also ends a connection whose other end is alive and whose receive buffer is full. An entry set it to 2.5 s on the connections of its callers, so a caller that read nothing for 2.5 s lost an answer that the entry had already sent. Accepted connections now have 10 s, longer than the longest deadline of the deployments; connections that an entry opens keep 2.5 s.

A caller whose host vanished without closing is noticed after 10 s instead of 2.5 s while bytes to it are unacknowledged. One that closes its connection is noticed at once, as before.

--- a/crates/entry/src/net.rs
+++ b/crates/entry/src/net.rs
@@ -10,6 +10,10 @@
 /// Time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`). Twice the
 /// longest round trip with one retransmission stays well below it.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The same of connections that this entry accepted. It also ends a connection whose other
+/// end is alive and reads nothing while its receive buffer is full, so it is longer than the
+/// deadline of any caller: 2.5 s cut off callers that read late.
+const ACCEPTED_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time after which keep-alive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Interval of keep-alive probes.
@@ -19,8 +23,13 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Sets the options of a connection: no delay, keep-alive and a timeout for sent bytes.
+/// Sets the options of an accepted connection: no delay, keep-alive and a timeout for sent
+/// bytes.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
+    set_timeouts(stream, ACCEPTED_USER_TIMEOUT)
+}
+
+fn set_timeouts(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -28,7 +37,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -50,6 +59,6 @@
     let stream = tokio::time::timeout(limit, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_options(&stream)?;
+    set_timeouts(&stream, USER_TIMEOUT)?;
     Ok(stream)
 }
