Read streams of latency-critical services ahead of slow callers

Cause: an entry didn't read a leader's stream on while 16 chunks waited for the caller. The request kept its slot, the leader cut the response off, and the break counted as a strike, as a disconnect of the leader and as a retry. While all memory of bodies was used, every stream with larger chunks stopped.

Change: events go to a backlog of the caller, without a copy, up to 256 KB for one caller and, together with bodies, a quarter of MemoryMb for all. At the first bound its stream ends, at the second that of the caller which holds most, with the line `caller too slow` and the cause `slow_caller` of bulrushhoist_cut_streams_total. Services that aren't latency-critical keep 16 chunks; a stream that wasn't read for 1 s and then breaks is no failure of its leader there either, and is resumed with a retry.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -9,7 +9,8 @@
 use derive_more::{Display, Error};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::mpsc;
+
+use crate::backlog::BacklogReader;
 
 /// Longest time for which the rest of a refused request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(3);
@@ -52,7 +53,7 @@
     /// The complete body, until it has been sent.
     Complete(Option<Bytes>),
     /// Chunks, followed by the end of the body or by [`Truncated`].
-    Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Chunks(BacklogReader),
 }
 
 impl AnswerBody {
@@ -72,9 +73,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Complete(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Chunks(chunks) => chunks
-                .poll_recv(cx)
-                .map(|next| next.map(|chunk| chunk.map(Frame::data))),
+            Self::Chunks(chunks) => chunks.poll_next(cx).map(|next| {
+                let chunk = next?;
+                Some(chunk.map(Frame::data).map_err(|_| Truncated))
+            }),
         }
     }
 
--- a/crates/entry/src/kept.rs
+++ b/crates/entry/src/kept.rs
@@ -4,13 +4,12 @@
 //! bodies of that size. What doesn't fit into the sum is given up, instead of ending the
 //! process with every request. See `docs/CAPACITY.md`.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
+use crate::backlog::{Backlogs, Room};
+
 /// Bytes of each body that don't count, so that small ones are never given up because of
 /// large ones.
 const UNCOUNTED_BYTES: usize = 16 * 1_024;
@@ -29,24 +28,24 @@
     NoRoom,
 }
 
-/// The memory that all kept bodies may use. Clones share it.
-#[derive(Clone, Debug)]
+/// The memory that all kept bodies may use, together with the events that wait for callers.
 pub(crate) struct BodyMemory {
-    max_bytes: usize,
-    used: Arc<AtomicUsize>,
+    room: Room,
+    pub(crate) backlogs: Backlogs,
 }
 
 impl BodyMemory {
     pub(crate) fn new(max_bytes: usize) -> Self {
+        let room = Room::new(max_bytes);
         Self {
-            max_bytes,
-            used: Arc::default(),
+            backlogs: Backlogs::new(room.clone()),
+            room,
         }
     }
 
     /// Returns the bytes that count at this moment.
     pub(crate) fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        self.room.used()
     }
 
     /// Reads a complete body of at most `max_bytes`.
@@ -64,26 +63,16 @@
             if kept.bytes.len() + data.len() > max_bytes {
                 return Err(BodyError::TooLarge);
             }
-            kept.append(&data)?;
+            kept.append(&data, &self.backlogs)?;
         }
         Ok(Bytes::from_owner(kept))
     }
 
-    /// Keeps bytes that are complete.
-    pub(crate) fn keep(&self, bytes: Bytes) -> Result<Bytes, BodyError> {
-        if bytes.len() <= UNCOUNTED_BYTES {
-            return Ok(bytes);
-        }
-        let mut kept = self.empty();
-        kept.append(&bytes)?;
-        Ok(Bytes::from_owner(kept))
-    }
-
     fn empty(&self) -> Kept {
         Kept {
             bytes: BytesMut::new(),
             counted: 0,
-            memory: self.clone(),
+            room: self.room.clone(),
         }
     }
 }
@@ -92,20 +81,20 @@
 struct Kept {
     bytes: BytesMut,
     counted: usize,
-    memory: BodyMemory,
+    room: Room,
 }
 
 impl Kept {
-    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+    fn append(&mut self, data: &[u8], backlogs: &Backlogs) -> Result<(), BodyError> {
         let length = self.bytes.len() + data.len();
         if length > self.bytes.capacity() {
             // The buffer at least doubles, so what it will use is counted before.
             let capacity = length.max(self.bytes.capacity() * 2);
             let more = capacity.saturating_sub(UNCOUNTED_BYTES) - self.counted;
-            if self.memory.used() + more > self.memory.max_bytes {
+            if !backlogs.make_room(more) {
                 return Err(BodyError::NoRoom);
             }
-            self.memory.used.fetch_add(more, Ordering::Relaxed);
+            self.room.take(more);
             self.counted += more;
             self.bytes.reserve(capacity - self.bytes.len());
         }
@@ -122,6 +111,6 @@
 
 impl Drop for Kept {
     fn drop(&mut self) {
-        self.memory.used.fetch_sub(self.counted, Ordering::Relaxed);
+        self.room.give_back(self.counted);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,12 +6,14 @@
 //! process has one thread; see `docs/SYSTEM.md`.
 
 mod attempt;
+mod backlog;
 mod body;
 mod call;
 mod clock;
 mod connection;
 mod control;
 mod cursor;
+mod delivery;
 mod dialect;
 mod directory;
 mod events;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -115,6 +115,8 @@
     OtherAnswer,
     /// It was refused because endpoints crash under it.
     Quarantined,
+    /// Its caller read so slowly that the bytes which waited had no room.
+    SlowCaller,
 }
 
 /// Why a streaming call is given up before its next event.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -16,26 +16,21 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use slog::info;
-use tokio::sync::mpsc;
 
 use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
-use crate::body::Truncated;
+use crate::backlog::{BacklogReader, BacklogSender, Reading};
 use crate::call::Call;
 use crate::connection::Connection;
+use crate::delivery::{StreamEnd, log_slow_caller, watch_delivery};
 use crate::events::Events;
 use crate::node::Node;
 use crate::outcome::{CutCause, GaveUp, Refusal, RetryCause};
 use crate::progress::Progress;
 use crate::waiting::{await_leader, await_next_leader};
 
-/// Chunks that may be queued for a slow caller. When the queue is full, the endpoint's
-/// stream is not read on, which passes the back-pressure to the endpoint.
-const MAX_QUEUED_CHUNKS: usize = 16;
 /// Endpoints that may refuse a stream that hasn't begun; after one more, the caller is
 /// refused.
 const MAX_REFUSALS: u8 = 1;
-/// Interval at which events that don't fit into the memory of bodies are tried again.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause of a begun stream while the retry budget is used up.
 const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -53,21 +48,10 @@
     Complete(Parts, Bytes, Name),
 }
 
-/// How a stream that had begun ended, as its log line says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-enum StreamEnd {
-    #[display("whole")]
-    Whole,
-    #[display("caller left")]
-    CallerLeft,
-    #[display("cut")]
-    Cut(CutCause),
-}
-
 /// The answer to a streaming call.
 pub(crate) enum StreamAnswer {
     /// Status and headers, and the chunks that follow.
-    Events(Parts, mpsc::Receiver<Result<Bytes, Truncated>>, Name),
+    Events(Parts, BacklogReader, Name),
     /// A complete answer.
     Complete(Parts, Bytes, Name),
 }
@@ -83,13 +67,30 @@
             Ok(StreamAnswer::Complete(parts, body, endpoint))
         }
         Ok(StreamStart::Events(parts, first, running)) => {
-            let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+            let critical = node
+                .state
+                .borrow()
+                .catalog
+                .is_latency_critical(&call.service);
+            let reading = match critical {
+                true => Reading::Ahead,
+                false => Reading::Paced,
+            };
+            let (chunks, reader) = node.body_memory.backlogs.open(reading);
+            progress.events = first.count;
+            let pushed = chunks.push(first.bytes, node.clock.instant(call.deadline));
+            if pushed.await.is_err() {
+                return Err((call, Refusal::TimedOut));
+            }
             let endpoint = running.in_flight.endpoint.id.clone();
             let node = node.clone();
             tokio::task::spawn_local(async move {
-                forward_events(&node, &call, progress, first, running, chunks).await;
+                let cut = forward_events(&node, &call, progress, running, &chunks).await;
+                let id = call.id.clone();
+                drop(call);
+                watch_delivery(&node, &id, cut, &chunks).await;
             });
-            Ok(StreamAnswer::Events(parts, receiver, endpoint))
+            Ok(StreamAnswer::Events(parts, reader, endpoint))
         }
     }
 }
@@ -379,42 +380,23 @@
         in_flight.on_activity();
         node.on_call_bytes(endpoint, data.len());
         match splitter.push(&data) {
-            Ok(Some(events)) => return keep_events(node, call, events).await.map(Some),
+            Ok(Some(events)) => return Ok(Some(events)),
             Ok(None) => {}
             Err(_) => return Err(AttemptError::MayHaveRun(RetryCause::Broken)),
         }
     }
 }
 
-/// Counts events among the bodies that are kept, since a slow caller may leave many of them
-/// unread. Waits while there is no room: then the endpoint's stream isn't read on.
-async fn keep_events(node: &Node, call: &Call, events: Events) -> Result<Events, AttemptError> {
-    let Events { bytes, count } = events;
-    loop {
-        if let Ok(bytes) = node.body_memory.keep(bytes.clone()) {
-            return Ok(Events { bytes, count });
-        }
-        if node.now() >= call.deadline {
-            return Err(AttemptError::TimedOut);
-        }
-        tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
-    }
-}
-
 /// Forwards events to the caller until the stream ends, and resumes the stream at other
-/// leaders if it breaks or stalls.
+/// leaders if it breaks or stalls. Returns why it was cut, if it was.
 async fn forward_events(
     node: &Rc<Node>,
     call: &Call,
     mut progress: Progress,
-    first: Events,
     mut running: Box<Running>,
-    chunks: mpsc::Sender<Result<Bytes, Truncated>>,
-) {
-    progress.events = first.count;
-    if chunks.send(Ok(first.bytes)).await.is_err() {
-        return;
-    }
+    chunks: &BacklogSender,
+) -> Option<CutCause> {
+    let deadline = node.clock.instant(call.deadline);
     let outcome = loop {
         let next = next_events(
             node,
@@ -424,14 +406,14 @@
             &mut progress,
         );
         let read = tokio::select! {
-            () = chunks.closed() => break StreamEnd::CallerLeft,
+            closed = chunks.closed() => break StreamEnd::from(closed),
             read = next => read,
         };
         let failed = match read {
             Ok(Some(events)) => {
                 progress.events += events.count;
-                if chunks.send(Ok(events.bytes)).await.is_err() {
-                    break StreamEnd::CallerLeft;
+                if let Err(closed) = chunks.push(events.bytes, deadline).await {
+                    break StreamEnd::from(closed);
                 }
                 continue;
             }
@@ -446,6 +428,11 @@
                 node.record_answered(&call.id, call.fingerprint, StatusCode::OK);
                 break StreamEnd::Whole;
             }
+            // Leaders cut off what stays unread, which shows no fault of theirs.
+            Err(failed @ AttemptError::MayHaveRun(RetryCause::Broken)) if chunks.was_unread() => {
+                running.in_flight.on_ended();
+                failed
+            }
             Err(failed) => report_failure(node, call, &running.in_flight, failed),
         };
         if matches!(failed, AttemptError::TimedOut) {
@@ -461,15 +448,16 @@
             break StreamEnd::Cut(CutCause::Attempts);
         }
         let restarted = tokio::select! {
-            () = chunks.closed() => break StreamEnd::CallerLeft,
+            closed = chunks.closed() => break StreamEnd::from(closed),
             restarted = start_stream(node, call, &mut progress) => restarted,
         };
         match restarted {
             Ok(StreamStart::Events(_, events, next)) => {
                 progress.events += events.count;
                 running = next;
-                if chunks.send(Ok(events.bytes)).await.is_err() {
-                    break StreamEnd::CallerLeft;
+                chunks.on_resumed();
+                if let Err(closed) = chunks.push(events.bytes, deadline).await {
+                    break StreamEnd::from(closed);
                 }
             }
             // The stream had broken after its last event: nothing is left to forward.
@@ -482,15 +470,15 @@
             Err(gave_up) => break StreamEnd::Cut(gave_up.cause),
         }
     };
-    let cause = match outcome {
-        StreamEnd::Cut(cause) => Some(cause),
-        StreamEnd::Whole | StreamEnd::CallerLeft => None,
-    };
+    let cause = outcome.cut_cause();
+    if let StreamEnd::TooSlow(bytes) = outcome {
+        log_slow_caller(node, &call.id, bytes);
+    }
     if let Some(cause) = cause {
         node.metrics.on_cut_stream(cause);
-        // Fails if the caller has left meanwhile.
-        let _ = chunks.send(Err(Truncated)).await;
     }
-    let cause = cause.map(|c| c.to_string());
-    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => %outcome, "cause" => cause, "events" => progress.events, "runs" => progress.runs + 1, "waited_ms" => progress.waited.as_millis() as u64, "took_ms" => node.now().since(call.received).as_millis() as u64);
+    chunks.end(cause.is_some());
+    let cut = cause.map(|c| c.to_string());
+    info!(node.log, "stream ended"; "request" => call.id_text(), "outcome" => %outcome, "cause" => cut, "events" => progress.events, "runs" => progress.runs + 1, "waited_ms" => progress.waited.as_millis() as u64, "took_ms" => node.now().since(call.received).as_millis() as u64);
+    cause
 }
