Keep two spares of other models before spares are loaded for surge groups

Cause: with one spare for the 16-VM model in each domain its groups couldn't replace the second member that they lost within the 16 s of a load.

--- a/crates/fleet/src/planner/surge.rs
+++ b/crates/fleet/src/planner/surge.rs
@@ -31,6 +31,11 @@
 /// is formed. Bursts of the deployments are up to 1.8 times the mean, which fits then.
 const SURGE_DEMAND: f64 = 0.5;
 
+/// Spares of a domain that stay loaded for each other model with a group there. Two members
+/// may be lost before a new VM has loaded weights, and a large group that can't replace one
+/// loses more slots than a surge group adds.
+const RESERVED_SPARES: usize = 2;
+
 /// Removes the surge groups that lost a member or have a slow one. Their other members
 /// become spares: a wanted group may need these more.
 pub(super) fn give_up_broken(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
@@ -294,8 +299,9 @@
 pub(super) struct SpareTargets(BTreeMap<(String, String), usize>);
 
 impl SpareTargets {
-    /// Finds the targets of every domain: one spare for each model that has a group there,
-    /// and the rest for the model with the smallest group if it makes up a whole one.
+    /// Finds the targets of every domain: the rest beside [`RESERVED_SPARES`] for the model
+    /// with the smallest group if it makes up a whole one, and at least one spare for each
+    /// model that has a group there.
     pub(super) fn find(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &Plan) -> Self {
         let mut targets = Self::default();
         let Some(smallest) = engine.models.iter().min_by_key(|m| m.group_size) else {
@@ -311,7 +317,7 @@
             for model in here {
                 targets.set(domain, model, 1);
             }
-            let rest = free.len().saturating_sub(others);
+            let rest = free.len().saturating_sub(others * RESERVED_SPARES);
             if rest >= smallest.group_size {
                 targets.set(domain, smallest, rest);
             }
