Let begun streams use the room beyond an entry's share

Where loads are predicted, an entry's share of short room and the margin also stopped streams that had begun, though slots were free, and new requests took the share first. `SlotLimit::Begun` is bound by neither; moving and resuming a stream uses it. On latency-critical services new requests wait while a begun stream does.

Without the change a_begun_stream_waits_for_a_share_of_the_room got `Full`, and a_new_request_starts_before_a_begun_stream_that_waits got no wait.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -260,7 +260,7 @@
         let centre = &self.settings.data_centre;
         let place = resuming.iter().position(|stream| {
             let (work, avoid) = (stream.work, &stream.avoid);
-            let placed = state.choose_leader(now, centre, key, work, SlotLimit::All, avoid);
+            let placed = state.choose_leader(now, centre, key, work, SlotLimit::Begun, avoid);
             matches!(placed, LeaderChoice::Leader(..))
         });
         let stream = place.and_then(|place| resuming.remove(place));
--- a/crates/entry/src/queues.rs
+++ b/crates/entry/src/queues.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{Discipline, FirstEventLatency, Name, RequestQueue, SlotLimit, Work};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -31,6 +32,15 @@
 }
 
 impl ModelQueue {
+    /// Returns whether a begun stream or a queued request goes before a new request. `late`
+    /// says whether the new one is late.
+    pub(crate) fn has_ahead(&self, now: Time, first: Duration, late: bool) -> bool {
+        let is_critical = self.waiting.discipline() == Discipline::OnTimeFirst;
+        let mut resuming = self.resuming.iter();
+        (is_critical && resuming.any(|s| !s.waker.is_closed()))
+            || self.waiting.has_ahead(now, first, late)
+    }
+
     /// Returns the time from a start to the first event by which the queue tells whether
     /// requests can be on time.
     pub(crate) fn expected_first(&self) -> Duration {
@@ -48,3 +58,7 @@
     pub(crate) avoid: SmallVec<[Name; 4]>,
     pub(crate) work: Work,
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/queues.rs"]
+mod tests;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -228,7 +228,7 @@
         return false;
     }
     let centre = &node.settings.data_centre;
-    let placed = state.choose_leader(now, centre, &key, call.work, SlotLimit::All, avoid);
+    let placed = state.choose_leader(now, centre, &key, call.work, SlotLimit::Begun, avoid);
     matches!(placed, LeaderChoice::Leader(..))
 }
 
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -65,7 +65,7 @@
             let latest_start = queue.waiting.latest_start(&request);
             let woken = retried || granted.is_some();
             // A request that can still meet its objective need not wait behind late ones.
-            let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
+            let must_wait = !woken && queue.has_ahead(now, first, late);
             let slot_limit = match (discipline, granted, late) {
                 // A reserved start may use all slots, though the request is late.
                 (Discipline::OnTimeFirst, Some(granted), _) => granted,
@@ -168,7 +168,8 @@
                 return Err(Refusal::NoEndpoint);
             }
             let (centre, avoid) = (&node.settings.data_centre, avoid(now));
-            let placed = state.choose_leader(now, centre, &key, call.work, SlotLimit::All, &avoid);
+            let limit = SlotLimit::Begun;
+            let placed = state.choose_leader(now, centre, &key, call.work, limit, &avoid);
             let leader = match placed {
                 LeaderChoice::Leader(id, _) => state.roster.get(&id).cloned(),
                 _ => None,
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -20,8 +20,11 @@
 /// How many of a leader's slots a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotLimit {
-    /// All of them.
+    /// All of them but a margin for what other entries may have sent.
     All,
+    /// All of them, for a stream that has begun: its caller already reads. Where loads are
+    /// predicted, neither the margin nor the entry's share of the room applies.
+    Begun,
     /// Those that aren't reserved for requests that can still meet their objective: a
     /// request that is late anyway must not make others late.
     Unreserved,
@@ -30,7 +33,7 @@
 impl SlotLimit {
     const fn fraction(self) -> f64 {
         match self {
-            Self::All => 1.0,
+            Self::All | Self::Begun => 1.0,
             Self::Unreserved => UNRESERVED_FRACTION,
         }
     }
@@ -144,7 +147,11 @@
         let loads: SmallVec<[LeaderLoad; 32]> = candidates.iter().map(leader_load).collect();
         let bounds = SlotBounds {
             slots: all_slots,
-            max_margin: all_slots - slots,
+            max_margin: match slot_limit {
+                SlotLimit::Begun => 0.0,
+                SlotLimit::All | SlotLimit::Unreserved => all_slots - slots,
+            },
+            is_shared: slot_limit != SlotLimit::Begun,
             entries: settings.entries,
         };
         match draw_leader(view, engine, time_factor, &loads, work, bounds, rng) {
--- a/crates/fleet/src/stale_load.rs
+++ b/crates/fleet/src/stale_load.rs
@@ -209,6 +209,8 @@
     pub(crate) max_margin: f64,
     /// Number of entries that share the leaders.
     pub(crate) entries: usize,
+    /// Whether the request may only use the entry's share of short room.
+    pub(crate) is_shared: bool,
 }
 
 /// A leader with its predicted load.
@@ -262,7 +264,8 @@
         return StaleChoice::Full;
     }
     let room: f64 = free.iter().map(|l| slots * l.capacity - l.load).sum();
-    if arrivals * FREE_ROOM >= room && !has_share(view, leaders, room, bounds.entries) {
+    let is_short = bounds.is_shared && arrivals * FREE_ROOM >= room;
+    if is_short && !has_share(view, leaders, room, bounds.entries) {
         return StaleChoice::Full;
     }
     free.sort_unstable_by(|a, b| (a.load / a.capacity).total_cmp(&(b.load / b.capacity)));
