Take rejections for unfitness only with known loads and status 503

Without a settled view of the peers their loads read 0, so a full leader was taken for unfit and suspected by all entries. It counts as full then. Refusals with a status other than 503 aren't classified.

Without the change a_full_leader_is_taken_for_unfit_before_the_loads_are_known and a_refusal_with_another_status_shows_an_unfit_leader got `Unfit`.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -400,7 +400,7 @@
         in_flight.on_ended();
         let cause = match response.status() {
             StatusCode::MISDIRECTED_REQUEST => RetryCause::Misdirected,
-            _ => node.on_rejected(call, endpoint),
+            status => node.on_rejected(call, endpoint, status),
         };
         if cause == RetryCause::Misdirected {
             node.pool.drop_endpoint(&endpoint.id);
--- a/crates/entry/src/fitness.rs
+++ b/crates/entry/src/fitness.rs
@@ -8,6 +8,7 @@
 use bulrushhoist_fleet::{
     CallKind, Endpoint, Engine, Health, Name, Rejection, quiet_time, unbegun_stall_timeout,
 };
+use hyper::StatusCode;
 use slog::info;
 
 use crate::attempt::STALL_CHECK_INTERVAL;
@@ -19,12 +20,19 @@
 impl State {
     /// Records that a leader rejected a request of a latency-critical service. Returns `None`
     /// where the rejection has another reason: the endpoint pauses, leaves or names a limit,
-    /// or no longer leads a group of the model.
-    pub(crate) fn on_rejected(&mut self, now: Time, leader: &Endpoint) -> Option<Rejection> {
+    /// or no longer leads a group of the model, or its status isn't that of an endpoint
+    /// without capacity.
+    pub(crate) fn on_rejected(
+        &mut self,
+        now: Time,
+        leader: &Endpoint,
+        status: StatusCode,
+    ) -> Option<Rejection> {
         let (id, incarnation) = (&leader.id, leader.incarnation);
         let explained = self.pauses.remaining(now, id, incarnation).is_some()
             || self.limits.is_limited(id, incarnation)
             || self.roster.is_leaving(id, incarnation);
+        let explained = explained || status != StatusCode::SERVICE_UNAVAILABLE;
         if explained || !self.catalog.is_latency_critical(&leader.service) {
             return None;
         }
@@ -38,7 +46,11 @@
             .slots;
         // The rejected request is still in the load.
         let others = (self.batch(now, id).requests - 1.0).max(0.0);
-        let load = others / f64::from(slots.max(1));
+        let load = match self.peers.is_settled(now) {
+            true => others / f64::from(slots.max(1)),
+            // Without the other entries' loads a full leader looks idle.
+            false => 1.0,
+        };
         self.fitness.set_report_interval(self.peers.view_age());
         Some(self.fitness.on_rejected(now, id, incarnation, load))
     }
@@ -86,7 +98,12 @@
 impl Node {
     /// Records that an endpoint refused a request without running it. Returns why the request
     /// may be sent to another one.
-    pub(crate) fn on_rejected(&self, call: &Call, endpoint: &Endpoint) -> RetryCause {
+    pub(crate) fn on_rejected(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        status: StatusCode,
+    ) -> RetryCause {
         if call.route.kind != CallKind::Stream {
             return RetryCause::Refused;
         }
@@ -94,7 +111,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let was_unfit = state.fitness.is_unfit(id, incarnation);
-        let Some(rejection) = state.on_rejected(now, endpoint) else {
+        let Some(rejection) = state.on_rejected(now, endpoint, status) else {
             return RetryCause::Refused;
         };
         let requests = state.batch(now, id).requests;
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -10,12 +10,15 @@
     CallKind, Catalog, Endpoint, EntryInfo, GroupState, LeaderChoice, Membership,
     MembershipSettings, Name, Rejection, SlotLimit, Work,
 };
+use hyper::StatusCode;
 use support::{endpoint, limits, member, ms, route, service};
 
 use crate::outcome::RetryCause;
 use crate::state::State;
 
 const SLOTS: u32 = 30;
+/// Status of a rejection for lack of capacity.
+const UNAVAILABLE: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 /// An objective that makes the service latency-critical, and one that doesn't.
 const CRITICAL_MS: u64 = 250;
 const RELAXED_MS: u64 = 800;
@@ -84,7 +87,7 @@
     let mut state = state(CRITICAL_MS);
     send(&mut state, now, &second.id, 12, 12);
     send(&mut state, now, &first.id, 1, 0);
-    assert_eq!(state.on_rejected(now, &first), Some(Rejection::Unfit));
+    assert_eq!(state.on_rejected(now, &first, UNAVAILABLE), Some(Rejection::Unfit));
     state.on_done(&first.id, Some(0), Duration::ZERO);
     let chosen = choose(&mut state, now);
     assert!(
@@ -92,7 +95,7 @@
         "{chosen:?}"
     );
     send(&mut state, now, &second.id, 16, 0);
-    assert_eq!(state.on_rejected(now, &second), Some(Rejection::Full));
+    assert_eq!(state.on_rejected(now, &second, UNAVAILABLE), Some(Rejection::Full));
     let LeaderChoice::Paused(wait) = choose(&mut state, now) else {
         panic!("a leader that rejects is used");
     };
@@ -105,7 +108,7 @@
         LeaderChoice::Leader(..)
     ));
     let mut relaxed = self::state(RELAXED_MS);
-    assert_eq!(relaxed.on_rejected(now, &first), None);
+    assert_eq!(relaxed.on_rejected(now, &first, UNAVAILABLE), None);
     assert!(matches!(
         choose(&mut relaxed, now),
         LeaderChoice::Leader(..)
@@ -120,17 +123,17 @@
     let now = ms(10_000);
     let mut pausing = state(CRITICAL_MS);
     pausing.pause(now, &first, Duration::from_secs(1));
-    assert_eq!(pausing.on_rejected(now, &first), None);
+    assert_eq!(pausing.on_rejected(now, &first, UNAVAILABLE), None);
     let mut leaving = state(CRITICAL_MS);
     leaving.roster.set_leaving(&first.id, 1);
-    assert_eq!(leaving.on_rejected(now, &first), None);
+    assert_eq!(leaving.on_rejected(now, &first, UNAVAILABLE), None);
     let mut member = state(CRITICAL_MS);
     let mut record = first.clone();
     record.membership.as_mut().unwrap().rank = 1;
     member.roster.put(record);
-    assert_eq!(member.on_rejected(now, &first), None);
+    assert_eq!(member.on_rejected(now, &first, UNAVAILABLE), None);
     assert_eq!(
-        state(CRITICAL_MS).on_rejected(now, &leader("vm-1", 2)),
+        state(CRITICAL_MS).on_rejected(now, &leader("vm-1", 2), UNAVAILABLE),
         None
     );
 }
@@ -184,3 +187,27 @@
     assert_eq!(RetryCause::Unfit.max_refusals(), 3);
     assert_eq!(RetryCause::Refused.max_refusals(), 1);
 }
+
+/// Guards against a full leader that an entry takes for unfit and reports to all others,
+/// because it hasn't heard their loads yet.
+#[test]
+fn a_full_leader_is_taken_for_unfit_before_the_loads_are_known() {
+    let first = leader("vm-1", 1);
+    let mut state = state(CRITICAL_MS);
+    let now = ms(100);
+    assert!(!state.peers.is_settled(now));
+    send(&mut state, now, &first.id, 1, 0);
+    let rejection = state.on_rejected(now, &first, UNAVAILABLE);
+    assert_eq!(rejection, Some(Rejection::Full));
+}
+
+/// Guards against a leader that is suspected because it refuses a request for a reason of
+/// the request.
+#[test]
+fn a_refusal_with_another_status_shows_an_unfit_leader() {
+    let first = leader("vm-1", 1);
+    for status in [StatusCode::BAD_REQUEST, StatusCode::TOO_MANY_REQUESTS] {
+        let mut state = state(CRITICAL_MS);
+        assert_eq!(state.on_rejected(ms(10_000), &first, status), None);
+    }
+}
