Wait for rejecting leaders instead of using quiet ones

While all leaders that are alive were excluded for rejections, requests went to quiet or suspected ones. They wait for the first exclusion to end now. A quiet leader is still used if the others that are alive are unfit, not full: that is what a_leader_that_rejects_everything_gets_the_next_request expects.

Without the change requests_go_to_a_quiet_leader_while_the_others_are_full and requests_go_to_a_suspected_leader_while_the_others_are_excluded got a leader.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -66,6 +66,9 @@
         let mut quiet: SmallVec<[Candidate; 4]> = SmallVec::new();
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
         let mut held: Option<HeldBack> = None;
+        // Times until the first unsuspected leader that rejected a request may be used again,
+        // and the first of them that was full.
+        let (mut rejecting, mut full) = (None::<Duration>, None::<Duration>);
         let mut rate = 0.0;
         for leader in usable {
             rate += self
@@ -74,6 +77,14 @@
                 .unwrap_or(0.0);
             if let Some(reason) = self.held_back(now, leader) {
                 held = Some(held.map_or(reason, |h| h.sooner(reason)));
+                let rejected = self.fitness.remaining(now, &leader.id, leader.incarnation);
+                if rejected.is_some() && self.health(now, leader) == Health::Alive {
+                    let time = reason.time();
+                    rejecting = Some(rejecting.map_or(time, |t| t.min(time)));
+                    if !self.fitness.is_unfit(&leader.id, leader.incarnation) {
+                        full = Some(full.map_or(time, |t| t.min(time)));
+                    }
+                }
                 continue;
             }
             let candidate = Candidate {
@@ -94,6 +105,12 @@
                 Health::Silent | Health::Dead => {}
             }
         }
+        // A full leader has slots again before a quiet or suspected one is known to serve. An
+        // unfit one may not, and a quiet one that isn't suspected is the better choice.
+        let awaited = if quiet.is_empty() { rejecting } else { full };
+        if let Some(remaining) = awaited.filter(|_| critical && candidates.is_empty()) {
+            return LeaderChoice::Paused(remaining);
+        }
         let entries = self.entries(now);
         let queue = self.queues.get(key);
         let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -211,3 +211,33 @@
         assert_eq!(state.on_rejected(ms(10_000), &first, status), None);
     }
 }
+
+/// Guards against requests at a quiet leader while the others are full for a moment: there
+/// they wait until its stall is certain.
+#[test]
+fn requests_go_to_a_quiet_leader_while_the_others_are_full() {
+    let (first, second) = (leader("vm-1", 1), leader("vm-2", 1));
+    let now = ms(10_300);
+    let mut state = state(CRITICAL_MS);
+    send(&mut state, ms(10_000), &first.id, 1, 1);
+    send(&mut state, now, &second.id, SLOTS, SLOTS);
+    let rejection = state.on_rejected(now, &second, UNAVAILABLE);
+    assert_eq!(rejection, Some(Rejection::Full));
+    let chosen = choose(&mut state, now);
+    assert!(matches!(chosen, LeaderChoice::Paused(_)), "{chosen:?}");
+}
+
+/// Guards against requests at a suspected leader while the backoff of the others lasts.
+#[test]
+fn requests_go_to_a_suspected_leader_while_the_others_are_excluded() {
+    let (first, second) = (leader("vm-1", 1), leader("vm-2", 1));
+    let now = ms(10_000);
+    for (objective, waits) in [(CRITICAL_MS, true), (RELAXED_MS, false)] {
+        let mut state = state(objective);
+        state.monitor.on_failure(now, &first.id, 1);
+        state.fitness.on_rejected(now, &second.id, 1, 0.0);
+        let chosen = choose(&mut state, now);
+        let paused = matches!(chosen, LeaderChoice::Paused(_));
+        assert_eq!(paused, waits, "{chosen:?}");
+    }
+}
