Queue requests only for known models

Any model name in a caller's header created a queue that was never removed. Requests for a model that is neither configured nor led by an endpoint are refused before, with the same refusal.

Without the check each_model_name_that_a_caller_sends_gets_a_queue got a queue for a made-up model.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -338,6 +338,16 @@
         budget
     }
 
+    /// Returns the queue of a model that is configured or led by an endpoint. Callers name
+    /// models freely and a queue is kept for good, so other models get none.
+    pub(crate) fn known_queue(&mut self, key: &ModelKey) -> Option<&mut ModelQueue> {
+        let (service, model) = key;
+        let engine = self.catalog.service(service)?.engine.as_ref()?;
+        let is_known = engine.models.iter().any(|m| m.name == *model)
+            || self.roster.leaders(service, model).next().is_some();
+        is_known.then(|| self.queue(key))
+    }
+
     /// Returns the queue of a model.
     pub(crate) fn queue(&mut self, key: &ModelKey) -> &mut ModelQueue {
         self.queues.entry(key.clone()).or_default()
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -50,7 +50,7 @@
     let key = (call.service.clone(), model);
     let since = node.now();
     let mut granted = None;
-    let request = queued_request(&mut node.state.borrow_mut(), &key, call);
+    let request = queued_request(&mut node.state.borrow_mut(), &key, call)?;
     loop {
         let now = node.now();
         if now >= call.deadline {
@@ -201,18 +201,27 @@
 }
 
 /// Returns the call as its queue knows it, and sets the queue's order by the configuration.
-fn queued_request(state: &mut State, key: &ModelKey, call: &Call) -> QueuedRequest {
+///
+/// # Errors
+///
+/// [`Refusal::NoEndpoint`] if the model is neither configured nor led by an endpoint.
+fn queued_request(
+    state: &mut State,
+    key: &ModelKey,
+    call: &Call,
+) -> Result<QueuedRequest, Refusal> {
     let discipline = match state.catalog.is_latency_critical(&call.service) {
         true => Discipline::OnTimeFirst,
         false => Discipline::EarliestFirst,
     };
-    state.queue(key).waiting.set_discipline(discipline);
+    let queue = state.known_queue(key).ok_or(Refusal::NoEndpoint)?;
+    queue.waiting.set_discipline(discipline);
     let service = state.catalog.service(&call.service);
     let run = service.and_then(|s| s.engine.as_ref()).and_then(|engine| {
         let model = engine.models.iter().find(|m| m.name == key.1)?;
         Some(expected_run_time(engine, model.time_factor, call.work))
     });
-    QueuedRequest {
+    Ok(QueuedRequest {
         id: 0,
         priority: call.priority,
         team: call.team.as_ref().map_or(0, |team| name_key(team)),
@@ -220,7 +229,7 @@
         objective: call.objective(),
         deadline: call.deadline,
         run: run.unwrap_or_default(),
-    }
+    })
 }
 
 /// Adds the call to its queue. Returns its id there and the receiver that wakes it.
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -241,3 +241,17 @@
         assert_eq!(paused, waits, "{chosen:?}");
     }
 }
+
+/// Guards against memory that grows with each model name that callers make up.
+#[test]
+fn each_model_name_that_a_caller_sends_gets_a_queue() {
+    let mut state = state(RELAXED_MS);
+    let mut led = leader("vm-3", 1);
+    led.model = Some("led".into());
+    state.roster.put(led);
+    for (model, is_known) in [("small", true), ("led", true), ("made-up", false)] {
+        let key = ("engines".into(), model.into());
+        assert_eq!(state.known_queue(&key).is_some(), is_known, "{model}");
+    }
+    assert_eq!(state.queues.len(), 2);
+}
