Refuse for an expected wait only with a known start rate

An entry with few requests took its own start rate, at least 0.5 per second, for that of the leaders, and refused the second late request that waited. With fewer than four starts in the window a request is refused only when its latest start has passed.

Without the change the test request_at_an_entry_with_few_starts_is_refused_for_its_start_rate had the second request refused after three starts.

--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -104,6 +104,10 @@
 /// Callers follow a delay of up to a third; the rest is for the way of the refusal.
 const MAX_RETURN_FRACTION: f64 = 0.3;
 
+/// Starts within the window from which their rate tells how long a request waits. An entry
+/// with fewer has few requests, and its leaders' slots free up much faster.
+const MIN_RATE_STARTS: usize = 4;
+
 /// Requests that wait for a leader of one model.
 #[derive(Debug, Default)]
 pub struct RequestQueue {
@@ -152,6 +156,7 @@
             now,
             first,
             interval: self.expected_wait(now, 1),
+            is_rate_known: self.starts.count(now) >= MIN_RATE_STARTS,
             requests: &self.requests,
         }
     }
@@ -242,8 +247,9 @@
         if self.settings.discipline == Discipline::EarliestFirst {
             return self.enqueue(now, request);
         }
-        let wait = self.order.expected_wait(&self.view(now, first), &request);
-        let too_late = now + wait >= latest_start(&request);
+        let view = self.view(now, first);
+        let wait = self.order.expected_wait(&view, &request);
+        let too_late = now + view.certain(wait) >= latest_start(&request);
         if self.requests.len() >= self.settings.max_requests || too_late {
             return Err(wait);
         }
--- a/crates/fleet/src/queue/overload.rs
+++ b/crates/fleet/src/queue/overload.rs
@@ -55,10 +55,21 @@
     pub(super) first: Duration,
     /// Expected time between two starts.
     pub(super) interval: Duration,
+    /// Whether there were enough starts to refuse requests for an expected wait.
+    pub(super) is_rate_known: bool,
     pub(super) requests: &'q [QueuedRequest],
 }
 
 impl View<'_> {
+    /// Returns the part of an expected wait for which a request may be refused.
+    pub(super) const fn certain(&self, wait: Duration) -> Duration {
+        if self.is_rate_known {
+            wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
     fn on_time(&self) -> impl Iterator<Item = (usize, &QueuedRequest)> {
         let all = self.requests.iter().enumerate();
         all.filter(|(_, r)| !self.is_late(r))
@@ -377,7 +388,7 @@
             let wait = on_time + interval.mul_f64(f64::from(ahead));
             // The next one to start isn't refused for an expectation.
             let wait = if ahead == 0 { Duration::ZERO } else { wait };
-            if view.now + wait >= latest_start(request) {
+            if view.now + view.certain(wait) >= latest_start(request) {
                 refused.push(request.id);
             } else {
                 ahead += 1;
--- a/crates/fleet/tests/overload_queue.rs
+++ b/crates/fleet/tests/overload_queue.rs
@@ -352,3 +352,28 @@
         "{run:?}"
     );
 }
+
+#[test]
+fn request_at_an_entry_with_few_starts_is_refused_for_its_start_rate() {
+    // At an entry with few requests the second one that waits would count with 2 s, though
+    // the leaders that it shares with others free a slot within milliseconds.
+    let first = Duration::from_millis(100);
+    let request = |id| QueuedRequest {
+        deadline: ms(1_500),
+        ..CHAT.request(id, 0)
+    };
+    for (starts, refused) in [(3, false), (4, true)] {
+        let mut queue = queue(Discipline::OnTimeFirst);
+        for _ in 0..starts {
+            queue.on_start(ms(0));
+        }
+        // They are late, can start until 700 ms, and are served in order of deadlines.
+        queue.enqueue_by(ms(300), first, request(0)).unwrap();
+        let second = queue.enqueue_by(ms(300), first, request(1));
+        assert_eq!(second.is_err(), refused, "{starts} starts");
+        assert!(queue.take_unservable(ms(300), first).is_empty());
+        let overdue = queue.take_unservable(ms(700), first);
+        assert_eq!(overdue.len(), if refused { 1 } else { 2 });
+        assert!(queue.enqueue_by(ms(700), first, request(2)).is_err());
+    }
+}
