Keep a suspicion that rejections didn't cause

An accepted request removed the suspicion of a leader that had been unfit from the reports, also if a stall or a broken connection had caused it. Each entry now notes whether nothing but rejections did. Also wraps a long doc line.

Without the change an_accepted_request_ends_a_suspicion_with_another_cause lost the suspicion.

--- a/crates/entry/src/fitness.rs
+++ b/crates/entry/src/fitness.rs
@@ -55,6 +55,18 @@
         Some(self.fitness.on_rejected(now, id, incarnation, load))
     }
 
+    /// Records an answer of an endpoint. Returns whether it was unfit. A suspicion that its
+    /// rejections caused is disproved, and isn't reported any further.
+    pub(crate) fn on_accepted(&mut self, endpoint: &Endpoint) -> bool {
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let was_unfit = self.fitness.on_accepted(id, incarnation);
+        let known = self.suspicions.get(id);
+        if was_unfit && known.is_some_and(|s| s.is_rejection && s.incarnation == incarnation) {
+            self.suspicions.remove(id);
+        }
+        was_unfit
+    }
+
     /// Returns whether no begun stream of this entry at a leader has had an event for several
     /// passes of the engine. A leader that is silent for longer than a stall takes to be noticed
     /// and isn't suspected has streams that this entry doesn't read on, as their callers are slow.
@@ -128,7 +140,13 @@
                 if !was_unfit {
                     info!(self.log, "leader unfit"; "endpoint" => &**id, "born" => incarnation, "requests" => requests);
                 }
-                self.suspect(id, incarnation, "rejects without load");
+                let mut state = self.state.borrow_mut();
+                let new = state.monitor.on_failure(now, id, incarnation);
+                state.note_suspicion(now, id, incarnation, true);
+                drop(state);
+                if new {
+                    self.report_suspicion(id, incarnation, "rejects without load");
+                }
                 RetryCause::Unfit
             }
         }
@@ -136,17 +154,9 @@
 
     /// Records an endpoint's answer to a request, which shows that it accepts requests.
     pub(crate) fn on_accepted(&self, endpoint: &Endpoint) {
-        let mut state = self.state.borrow_mut();
-        if !state
-            .fitness
-            .on_accepted(&endpoint.id, endpoint.incarnation)
-        {
-            return;
+        if self.state.borrow_mut().on_accepted(endpoint) {
+            self.log_fit(endpoint);
         }
-        // The suspicion is disproved, and isn't reported any further.
-        state.suspicions.remove(&endpoint.id);
-        drop(state);
-        self.log_fit(endpoint);
     }
 
     fn log_fit(&self, endpoint: &Endpoint) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -153,9 +153,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let new = state.monitor.on_failure(now, endpoint, incarnation);
-        state
-            .suspicions
-            .insert(endpoint.clone(), (incarnation, now));
+        state.note_suspicion(now, endpoint, incarnation, false);
         drop(state);
         if new {
             self.report_suspicion(endpoint, incarnation, cause);
@@ -169,15 +167,13 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if state.monitor.on_disconnect(now, endpoint, incarnation) {
-            state
-                .suspicions
-                .insert(endpoint.clone(), (incarnation, now));
+            state.note_suspicion(now, endpoint, incarnation, false);
             drop(state);
             self.report_suspicion(endpoint, incarnation, cause);
         }
     }
 
-    fn report_suspicion(&self, endpoint: &Name, incarnation: u64, cause: &str) {
+    pub(crate) fn report_suspicion(&self, endpoint: &Name, incarnation: u64, cause: &str) {
         info!(self.log, "endpoint suspected"; "endpoint" => &**endpoint, "born" => incarnation, "cause" => cause);
         self.planner_wake.notify_one();
     }
@@ -273,11 +269,11 @@
         let mut state = self.state.borrow_mut();
         state
             .suspicions
-            .retain(|_, (_, at)| now.since(*at) < SUSPICION_REPORT_TIME);
+            .retain(|_, s| now.since(s.at) < SUSPICION_REPORT_TIME);
         let all = state.suspicions.iter();
-        all.map(|(endpoint, (incarnation, _))| Suspicion {
+        all.map(|(endpoint, suspicion)| Suspicion {
             endpoint: endpoint.clone(),
-            incarnation: *incarnation,
+            incarnation: suspicion.incarnation,
         })
         .collect()
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -64,6 +64,16 @@
     }
 }
 
+/// What this entry reports of an endpoint that it suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OwnSuspicion {
+    pub(crate) incarnation: u64,
+    /// When the last failure was seen.
+    pub(crate) at: Time,
+    /// Whether nothing but rejections caused it, which an accepted request disproves.
+    pub(crate) is_rejection: bool,
+}
+
 /// Whether the entry takes callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -114,8 +124,8 @@
     /// This entry's share of the retry budgets, by service.
     pub(crate) budgets: HashMap<Name, SharedRetryBudget>,
     pub(crate) quarantine: Quarantine,
-    /// Incarnation and time of the last failure that this entry saw, by endpoint.
-    pub(crate) suspicions: HashMap<Name, (u64, Time)>,
+    /// The last failure that this entry saw, by endpoint.
+    pub(crate) suspicions: HashMap<Name, OwnSuspicion>,
     /// Endpoints that have said that they leave, and when this entry heard of it.
     pub(crate) departures: Vec<(Departure, Time)>,
     /// Pauses that endpoints asked this entry for.
@@ -338,6 +348,24 @@
         budget
     }
 
+    /// Records a failure of an endpoint for the reports to the other entries.
+    pub(crate) fn note_suspicion(
+        &mut self,
+        now: Time,
+        endpoint: &Name,
+        incarnation: u64,
+        is_rejection: bool,
+    ) {
+        let known = self.suspicions.get(endpoint);
+        let known = known.filter(|s| s.incarnation == incarnation);
+        let suspicion = OwnSuspicion {
+            incarnation,
+            at: now,
+            is_rejection: is_rejection && known.is_none_or(|s| s.is_rejection),
+        };
+        self.suspicions.insert(endpoint.clone(), suspicion);
+    }
+
     /// Returns the queue of a model that is configured or led by an endpoint. Callers name
     /// models freely and a queue is kept for good, so other models get none.
     pub(crate) fn known_queue(&mut self, key: &ModelKey) -> Option<&mut ModelQueue> {
--- a/crates/entry/tests/unit/fitness.rs
+++ b/crates/entry/tests/unit/fitness.rs
@@ -87,7 +87,10 @@
     let mut state = state(CRITICAL_MS);
     send(&mut state, now, &second.id, 12, 12);
     send(&mut state, now, &first.id, 1, 0);
-    assert_eq!(state.on_rejected(now, &first, UNAVAILABLE), Some(Rejection::Unfit));
+    assert_eq!(
+        state.on_rejected(now, &first, UNAVAILABLE),
+        Some(Rejection::Unfit)
+    );
     state.on_done(&first.id, Some(0), Duration::ZERO);
     let chosen = choose(&mut state, now);
     assert!(
@@ -95,7 +98,10 @@
         "{chosen:?}"
     );
     send(&mut state, now, &second.id, 16, 0);
-    assert_eq!(state.on_rejected(now, &second, UNAVAILABLE), Some(Rejection::Full));
+    assert_eq!(
+        state.on_rejected(now, &second, UNAVAILABLE),
+        Some(Rejection::Full)
+    );
     let LeaderChoice::Paused(wait) = choose(&mut state, now) else {
         panic!("a leader that rejects is used");
     };
@@ -242,6 +248,27 @@
     }
 }
 
+/// Guards against a stalled or broken leader whose suspicion isn't reported any more, because
+/// it accepted a request after it had rejected one.
+#[test]
+fn an_accepted_request_ends_a_suspicion_with_another_cause() {
+    let first = leader("vm-1", 1);
+    let now = ms(10_000);
+    for (causes, is_kept) in [
+        (&[true][..], false),
+        (&[false, true], true),
+        (&[true, false], true),
+    ] {
+        let mut state = state(CRITICAL_MS);
+        state.fitness.on_rejected(now, &first.id, 1, 0.0);
+        for is_rejection in causes {
+            state.note_suspicion(now, &first.id, 1, *is_rejection);
+        }
+        assert!(state.on_accepted(&first));
+        assert_eq!(state.suspicions.contains_key(&first.id), is_kept);
+    }
+}
+
 /// Guards against memory that grows with each model name that callers make up.
 #[test]
 fn each_model_name_that_a_caller_sends_gets_a_queue() {
--- a/crates/fleet/src/queue/overload.rs
+++ b/crates/fleet/src/queue/overload.rs
@@ -6,9 +6,9 @@
 //! request would start at the last moment, and most would be late. Late requests follow
 //! by deadline. One start in [`RESERVED_INTERVAL`] goes to the class that has waited
 //! longest without one, if that is at least [`MIN_STARVED_TIME`]: each waiting class adds
-//! at most [`MAX_PASSED`] on-time starts and this time to the pause of another. This answers a demand of up to
-//! twice the capacity for some seconds, as in a burst or while VMs are cut off. See
-//! `docs/design/overload-queue.md`.
+//! at most [`MAX_PASSED`] on-time starts and this time to the pause of another. This answers
+//! a demand of up to twice the capacity for some seconds, as in a burst or while VMs are cut
+//! off. See `docs/design/overload-queue.md`.
 
 use std::collections::HashMap;
 use std::time::Duration;
