--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -50,7 +50,7 @@
     let key = (call.service.clone(), model);
     let since = node.now();
     let mut granted = None;
-    let request = queued_request(&mut node.state.borrow_mut(), &key, call);
+    let request = queued_request(&mut node.state.borrow_mut(), &key, call)?;
     loop {
         let now = node.now();
         if now >= call.deadline {
@@ -65,7 +65,7 @@
             let latest_start = queue.waiting.latest_start(&request);
             let woken = retried || granted.is_some();
             // A request that can still meet its objective need not wait behind late ones.
-            let must_wait = !woken && queue.waiting.has_ahead(now, first, late);
+            let must_wait = !woken && queue.has_ahead(now, first, late);
             let slot_limit = match (discipline, granted, late) {
                 // A reserved start may use all slots, though the request is late.
                 (Discipline::OnTimeFirst, Some(granted), _) => granted,
@@ -168,7 +168,8 @@
                 return Err(Refusal::NoEndpoint);
             }
             let (centre, avoid) = (&node.settings.data_centre, avoid(now));
-            let placed = state.choose_leader(now, centre, &key, call.work, SlotLimit::All, &avoid);
+            let limit = SlotLimit::Begun;
+            let placed = state.choose_leader(now, centre, &key, call.work, limit, &avoid);
             let leader = match placed {
                 LeaderChoice::Leader(id, _) => state.roster.get(&id).cloned(),
                 _ => None,
@@ -200,18 +201,27 @@
 }
 
 /// Returns the call as its queue knows it, and sets the queue's order by the configuration.
-fn queued_request(state: &mut State, key: &ModelKey, call: &Call) -> QueuedRequest {
+///
+/// # Errors
+///
+/// [`Refusal::NoEndpoint`] if the model is neither configured nor led by an endpoint.
+fn queued_request(
+    state: &mut State,
+    key: &ModelKey,
+    call: &Call,
+) -> Result<QueuedRequest, Refusal> {
     let discipline = match state.catalog.is_latency_critical(&call.service) {
         true => Discipline::OnTimeFirst,
         false => Discipline::EarliestFirst,
     };
-    state.queue(key).waiting.set_discipline(discipline);
+    let queue = state.known_queue(key).ok_or(Refusal::NoEndpoint)?;
+    queue.waiting.set_discipline(discipline);
     let service = state.catalog.service(&call.service);
     let run = service.and_then(|s| s.engine.as_ref()).and_then(|engine| {
         let model = engine.models.iter().find(|m| m.name == key.1)?;
         Some(expected_run_time(engine, model.time_factor, call.work))
     });
-    QueuedRequest {
+    Ok(QueuedRequest {
         id: 0,
         priority: call.priority,
         team: call.team.as_ref().map_or(0, |team| name_key(team)),
@@ -219,7 +229,7 @@
         objective: call.objective(),
         deadline: call.deadline,
         run: run.unwrap_or_default(),
-    }
+    })
 }
 
 /// Adds the call to its queue. Returns its id there and the receiver that wakes it.
