Limit the longer TCP timeout to callers of entries that read ahead

Cause: every accepted connection had a TCP_USER_TIMEOUT of 10 s, also on the relay and metrics listeners and without latency-critical services, so vanished peers were noticed later than before. Change: 2.5 s as before; 10 s for callers while any service is latency-critical, decided at accept. Before: net::tests::every_accepted_connection_gets_the_longer_timeout saw 10 s instead of 2.5 s.

--- a/crates/entry/src/net.rs
+++ b/crates/entry/src/net.rs
@@ -10,10 +10,11 @@
 /// Time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`). Twice the
 /// longest round trip with one retransmission stays well below it.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The same of connections that this entry accepted. It also ends a connection whose other
-/// end is alive and reads nothing while its receive buffer is full, so it is longer than the
-/// deadline of any caller: 2.5 s cut off callers that read late.
-const ACCEPTED_USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The same for callers of an entry that reads streams ahead. The timeout also ends a
+/// connection whose other end is alive but has had a full receive buffer for this long;
+/// 2.5 s cut off callers that pause longer while the entry holds their events. A caller may
+/// have a later deadline and is then still cut off.
+const READ_AHEAD_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time after which keep-alive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Interval of keep-alive probes.
@@ -24,9 +25,13 @@
 const ACCEPT_BACKLOG: i32 = 1_024;
 
 /// Sets the options of an accepted connection: no delay, keep-alive and a timeout for sent
-/// bytes.
-pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
-    set_timeouts(stream, ACCEPTED_USER_TIMEOUT)
+/// bytes. `reads_ahead`: it is a caller's, and streams may be read ahead for it.
+pub(crate) fn set_options(stream: &TcpStream, reads_ahead: bool) -> io::Result<()> {
+    let user_timeout = match reads_ahead {
+        true => READ_AHEAD_USER_TIMEOUT,
+        false => USER_TIMEOUT,
+    };
+    set_timeouts(stream, user_timeout)
 }
 
 fn set_timeouts(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
@@ -62,3 +67,7 @@
     set_timeouts(&stream, USER_TIMEOUT)?;
     Ok(stream)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/net.rs"]
+mod tests;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -74,7 +74,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = net::set_options(&stream) {
+                let critical = node.state.borrow().catalog.has_latency_critical();
+                let reads_ahead = role == ListenerRole::Callers && critical;
+                if let Err(error) = net::set_options(&stream, reads_ahead) {
                     warn!(node.log, "connection not usable"; "cause" => %error);
                     continue;
                 }
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -298,6 +298,12 @@
         self.latency_critical.contains(service)
     }
 
+    /// Returns whether any service is latency-critical.
+    #[must_use]
+    pub fn has_latency_critical(&self) -> bool {
+        !self.latency_critical.is_empty()
+    }
+
     /// Returns every service.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/fleet/tests/catalog.rs
+++ b/crates/fleet/tests/catalog.rs
@@ -112,7 +112,9 @@
     let catalog = |routes| Catalog::new(1, routes, vec![service()], None, limits());
     // Two passes of five steps of 8 ms, and 200 ms.
     assert!(catalog(vec![stream("chat", 279)]).is_latency_critical("engines"));
+    assert!(catalog(vec![stream("chat", 279)]).has_latency_critical());
     assert!(!catalog(vec![stream("chat", 280)]).is_latency_critical("engines"));
+    assert!(!catalog(vec![stream("chat", 280)]).has_latency_critical());
     let mut plain = stream("lookup", 100);
     plain.kind = CallKind::Safe;
     assert!(!catalog(vec![plain]).is_latency_critical("engines"));
