Hold breaks of caught-up streams against their leaders

Cause: the longest pause of a stream was cleared only when another leader resumed it, so one pause of a second hid every later failure of the leader. Change: the pause is cleared when the caller has everything and a read from the leader gave data after a wait of 10 ms or more; shorter waits are the hand-over of bytes that had arrived before. Before: backlog::tests::a_pause_hides_later_failures still found the stream unread (with the new call left empty).

--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -35,6 +35,9 @@
 /// Pause in reading a stream after which its break says nothing about its leader. Leaders
 /// cut off a response that stays unread for some seconds.
 const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
+/// Wait of a read after which its data has just come from the leader. The hand-over of bytes
+/// that had arrived before takes less.
+const MIN_LEADER_WAIT: Duration = Duration::from_millis(10);
 
 /// The memory that bodies and backlogs share. Clones count together.
 #[derive(Clone, Debug)]
@@ -267,7 +270,8 @@
 pub(crate) struct BacklogSender {
     all: Backlogs,
     backlog: Rc<Backlog>,
-    /// Longest time in which the present leader's stream was not read.
+    /// Longest time in which the present leader's stream was not read, since its caller last
+    /// had everything.
     longest_pause: Cell<Duration>,
 }
 
@@ -365,6 +369,15 @@
         self.longest_pause.set(Duration::ZERO);
     }
 
+    /// Records that a read from the leader gave data after this time. If the caller has
+    /// everything and the read had to wait, the stream has been caught up, and a later break
+    /// is the leader's.
+    pub(crate) fn on_read(&self, waited: Duration) {
+        if waited >= MIN_LEADER_WAIT && self.backlog.held() == 0 {
+            self.longest_pause.set(Duration::ZERO);
+        }
+    }
+
     /// Returns whether the present leader may have cut off the stream because it stayed
     /// unread.
     pub(crate) fn was_unread(&self) -> bool {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -16,6 +16,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use slog::info;
+use tokio::time::Instant;
 
 use crate::attempt::{self, AttemptError, InFlight, WaitError, WaitPolicy, wait_for};
 use crate::backlog::{BacklogReader, BacklogSender, Reading};
@@ -402,12 +403,14 @@
             &mut running.body,
             &mut progress,
         );
+        let reading = Instant::now();
         let read = tokio::select! {
             closed = chunks.closed() => break StreamEnd::from(closed),
             read = next => read,
         };
         let failed = match read {
             Ok(Some(events)) => {
+                chunks.on_read(reading.elapsed());
                 progress.events += events.count;
                 if let Err(closed) = chunks.push(events.bytes, deadline).await {
                     break StreamEnd::from(closed);
--- a/crates/entry/tests/unit/backlog.rs
+++ b/crates/entry/tests/unit/backlog.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use super::{BacklogReader, Backlogs, CHUNK_OVERHEAD, Closed, Cut, MIN_UNREAD_TIME, Reading, Room};
+use super::{BacklogReader, Backlogs, CHUNK_OVERHEAD, Closed, Cut, Reading, Room};
+use super::{MIN_LEADER_WAIT, MIN_UNREAD_TIME};
 
 const LIMIT: usize = 1 << 20;
 
@@ -172,3 +173,29 @@
     }
     assert_eq!(next(&mut reader).await, Some(Err(Cut)));
 }
+
+/// Guards against a pause that hides a failure of the leader long after the caller has read
+/// everything, and against blame for a leader whose stream is still being caught up.
+#[tokio::test]
+async fn a_pause_hides_later_failures() {
+    let (all, _) = backlogs(LIMIT);
+    let (sender, mut reader) = all.open(Reading::Paced);
+    for _ in 0..16 {
+        assert_eq!(sender.push(chunk(1, 10), deadline()).await, Ok(()));
+    }
+    let reading = async {
+        tokio::time::sleep(MIN_UNREAD_TIME).await;
+        next(&mut reader).await
+    };
+    let (pushed, _) = tokio::join!(sender.push(chunk(2, 10), deadline()), reading);
+    assert_eq!(pushed, Ok(()));
+    sender.on_read(MIN_LEADER_WAIT);
+    assert!(sender.was_unread(), "events still wait");
+    for _ in 0..16 {
+        assert!(matches!(next(&mut reader).await, Some(Ok(_))));
+    }
+    sender.on_read(Duration::ZERO);
+    assert!(sender.was_unread(), "data that had arrived before");
+    sender.on_read(MIN_LEADER_WAIT);
+    assert!(!sender.was_unread());
+}
