End no stream for a body that has no room even so

Cause: streams of slow callers ended one after the other, although all of them together did not make the room. Change: sum what they hold first, and end none if it is not enough. Before: backlog::tests::streams_end_for_a_body_that_fits_nowhere got Cut instead of the chunk.

--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -203,9 +203,19 @@
         (sender, reader)
     }
 
-    /// Ends streams of slow callers until a body of this size has room. Returns whether it
-    /// has.
+    /// Ends streams of slow callers until this many bytes have room. Returns whether they
+    /// have; if all such streams together don't hold enough, none ends.
     pub(crate) fn make_room(&self, bytes: usize) -> bool {
+        let free = self.room.free();
+        if bytes > free {
+            let ahead = self.ahead.borrow();
+            let held = ahead.iter().map(|(id, b)| (*id, b.held()));
+            let held = held.filter(|b| victim_of_body(Some(*b)).is_some());
+            let gain: usize = held.map(|(_, h)| h).sum();
+            if bytes > free + gain {
+                return false;
+            }
+        }
         while bytes > self.room.free() {
             let Some(id) = victim_of_body(self.largest(None)) else {
                 return false;
--- a/crates/entry/tests/unit/backlog.rs
+++ b/crates/entry/tests/unit/backlog.rs
@@ -199,3 +199,15 @@
     sender.on_read(MIN_LEADER_WAIT);
     assert!(!sender.was_unread());
 }
+
+/// Guards against streams that end for a body which has no room even without them.
+#[tokio::test]
+async fn streams_end_for_a_body_that_fits_nowhere() {
+    let (all, _) = backlogs(300_000);
+    let (large, mut large_reader) = all.open(Reading::Ahead);
+    let (small, _small_reader) = all.open(Reading::Ahead);
+    assert_eq!(large.push(chunk(1, 200_000), deadline()).await, Ok(()));
+    assert_eq!(small.push(chunk(1, 10_000), deadline()).await, Ok(()));
+    assert!(!all.make_room(295_000), "small backlogs stay");
+    assert!(matches!(next(&mut large_reader).await, Some(Ok(_))));
+}
