Make room for a large chunk of a paced stream

Cause: a chunk of a paced stream without room waited until its deadline behind slow callers that held the memory. Change: it ends streams that are read ahead as a body does, and waits only if that is not enough. Before: backlog::tests::a_paced_chunk_waits_for_slow_callers timed out.

--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -305,8 +305,11 @@
                     self.all.evict(id);
                     continue;
                 }
+                Verdict::MakeRoom if self.all.make_room(arrival.more) => continue,
                 Verdict::AwaitCaller => deadline,
-                Verdict::AwaitRoom => deadline.min(Instant::now() + ROOM_CHECK_INTERVAL),
+                Verdict::MakeRoom | Verdict::AwaitRoom => {
+                    deadline.min(Instant::now() + ROOM_CHECK_INTERVAL)
+                }
             };
             if Instant::now() >= deadline {
                 // What has arrived in time is delivered if only its caller is late.
--- a/crates/entry/src/backlog/bounds.rs
+++ b/crates/entry/src/backlog/bounds.rs
@@ -49,6 +49,8 @@
     End(u64),
     /// It waits until the caller has read.
     AwaitCaller,
+    /// Streams of slow callers end if that makes its room; otherwise it waits for room.
+    MakeRoom,
     /// It waits until bodies have been given up.
     AwaitRoom,
 }
@@ -62,7 +64,7 @@
         return match fits || arrival.more <= SMALL_BYTES {
             _ if arrival.chunks >= MAX_PACED_CHUNKS => Verdict::AwaitCaller,
             true => Verdict::Keep,
-            false => Verdict::AwaitRoom,
+            false => Verdict::MakeRoom,
         };
     }
     if arrival.held > 0 && after > MAX_CALLER_BYTES {
--- a/crates/entry/tests/unit/backlog.rs
+++ b/crates/entry/tests/unit/backlog.rs
@@ -211,3 +211,16 @@
     assert!(!all.make_room(295_000), "small backlogs stay");
     assert!(matches!(next(&mut large_reader).await, Some(Ok(_))));
 }
+
+/// Guards against a paced stream that waits for memory which slow callers hold.
+#[tokio::test]
+async fn a_paced_chunk_waits_for_slow_callers() {
+    let (all, _) = backlogs(300_000);
+    let (slow, _slow_reader) = all.open(Reading::Ahead);
+    assert_eq!(slow.push(chunk(1, 250_000), deadline()).await, Ok(()));
+    let (paced, _reader) = all.open(Reading::Paced);
+    let pushed = paced.push(chunk(2, 100_000), deadline());
+    let pushed = tokio::time::timeout(Duration::ZERO, pushed).await;
+    assert_eq!(pushed, Ok(Ok(())));
+    assert!(matches!(slow.closed().await, Closed::TooSlow(_)));
+}
