Drop the queue of a caller that ends for the memory of all

Cause: a stream that ended at the total limit kept up to 256 KB queued, though its answer is incomplete anyway. Change: its queue is dropped at once; at the limit of one caller what waits is still delivered. The test of bounds expects the new verdict DropOwn at the total limit. Before: backlog::tests::an_ended_caller_keeps_its_queue found 290,192 bytes used instead of 90,096.

--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -3,8 +3,8 @@
 //! An event is in at most one place: read from the leader, in its caller's backlog, or
 //! handed to the caller's connection; its bytes are never copied. They count in the memory
 //! of bodies until the caller's connection has them, and those of a large one until it has
-//! written them. A caller that leaves, or whose stream ends for lack of memory, gives them
-//! back at once.
+//! written them. A caller that leaves, or whose stream ends because the memory of all is used up,
+//! gives them back at once. At the caller's own limit, what waits is still delivered.
 //!
 //! Answers the load of callers that read slowly beside leaders that cut off a response which
 //! stays unread: a stream that is read ahead is over at its leader when its answer is, and
@@ -301,6 +301,10 @@
                     self.end(true);
                     return Err(Closed::TooSlow(arrival.held + arrival.more));
                 }
+                Verdict::DropOwn => {
+                    self.all.evict(self.backlog.id);
+                    return Err(Closed::TooSlow(arrival.held + arrival.more));
+                }
                 Verdict::End(id) => {
                     self.all.evict(id);
                     continue;
--- a/crates/entry/src/backlog/bounds.rs
+++ b/crates/entry/src/backlog/bounds.rs
@@ -43,8 +43,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
     Keep,
-    /// The stream of its own caller ends.
+    /// The stream of its own caller ends at the limit for one caller; what waits is delivered.
     EndOwn,
+    /// The stream of its own caller ends for the memory of all; what waits is dropped.
+    DropOwn,
     /// Another stream ends; then the chunk is tried again.
     End(u64),
     /// It waits until the caller has read.
@@ -75,7 +77,7 @@
     }
     match arrival.largest {
         Some((id, held)) if held >= after => Verdict::End(id),
-        _ if arrival.held > 0 => Verdict::EndOwn,
+        _ if arrival.held > 0 => Verdict::DropOwn,
         _ => Verdict::AwaitRoom,
     }
 }
--- a/crates/entry/tests/unit/backlog.rs
+++ b/crates/entry/tests/unit/backlog.rs
@@ -224,3 +224,18 @@
     assert_eq!(pushed, Ok(Ok(())));
     assert!(matches!(slow.closed().await, Closed::TooSlow(_)));
 }
+
+/// Guards against memory that a caller keeps after its stream has ended for the memory of all.
+#[tokio::test]
+async fn an_ended_caller_keeps_its_queue() {
+    let (all, room) = backlogs(300_000);
+    let (own, mut reader) = all.open(Reading::Ahead);
+    let (other, _other_reader) = all.open(Reading::Ahead);
+    assert_eq!(own.push(chunk(1, 200_000), deadline()).await, Ok(()));
+    assert_eq!(other.push(chunk(1, 90_000), deadline()).await, Ok(()));
+    let size = 200_000 + 20_000 + 2 * CHUNK_OVERHEAD;
+    let closed = own.push(chunk(1, 20_000), deadline()).await;
+    assert_eq!(closed, Err(Closed::TooSlow(size)));
+    assert_eq!(room.used(), 90_000 + CHUNK_OVERHEAD);
+    assert_eq!(next(&mut reader).await, Some(Err(Cut)));
+}
--- a/crates/entry/tests/unit/backlog_bounds.rs
+++ b/crates/entry/tests/unit/backlog_bounds.rs
@@ -64,8 +64,8 @@
     let with = |largest| Arrival { largest, ..full };
     let after = full.held + full.more;
     assert_eq!(verdict(with(Some((7, after)))), Verdict::End(7));
-    assert_eq!(verdict(with(Some((7, after - 1)))), Verdict::EndOwn);
-    assert_eq!(verdict(with(None)), Verdict::EndOwn);
+    assert_eq!(verdict(with(Some((7, after - 1)))), Verdict::DropOwn);
+    assert_eq!(verdict(with(None)), Verdict::DropOwn);
     let prompt = Arrival {
         held: 0,
         ..with(Some((7, 100)))
