--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -162,7 +162,7 @@
                 .build(),
             body_bytes: meter
                 .u64_gauge("bulrushhoist_body_bytes")
-                .with_description("Bytes of complete bodies that count against their memory")
+                .with_description("Bytes of bodies and of events that wait for callers that count against their memory")
                 .build(),
             paused: meter
                 .u64_gauge("bulrushhoist_paused_endpoints")
