--- a/crates/entry/src/backlog.rs
+++ b/crates/entry/src/backlog.rs
@@ -3,8 +3,8 @@
 //! An event is in at most one place: read from the leader, in its caller's backlog, or
 //! handed to the caller's connection; its bytes are never copied. They count in the memory
 //! of bodies until the caller's connection has them, and those of a large one until it has
-//! written them. A caller that leaves, or whose stream ends for lack of memory, gives them
-//! back at once.
+//! written them. A caller that leaves, or whose stream ends because the memory of all is used up,
+//! gives them back at once. At the caller's own limit, what waits is still delivered.
 //!
 //! Answers the load of callers that read slowly beside leaders that cut off a response which
 //! stays unread: a stream that is read ahead is over at its leader when its answer is, and
@@ -35,6 +35,9 @@
 /// Pause in reading a stream after which its break says nothing about its leader. Leaders
 /// cut off a response that stays unread for some seconds.
 const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
+/// Wait of a read after which its data has just come from the leader. The hand-over of bytes
+/// that had arrived before takes less.
+const MIN_LEADER_WAIT: Duration = Duration::from_millis(10);
 
 /// The memory that bodies and backlogs share. Clones count together.
 #[derive(Clone, Debug)]
@@ -200,9 +203,19 @@
         (sender, reader)
     }
 
-    /// Ends streams of slow callers until a body of this size has room. Returns whether it
-    /// has.
+    /// Ends streams of slow callers until this many bytes have room. Returns whether they
+    /// have; if all such streams together don't hold enough, none ends.
     pub(crate) fn make_room(&self, bytes: usize) -> bool {
+        let free = self.room.free();
+        if bytes > free {
+            let ahead = self.ahead.borrow();
+            let held = ahead.iter().map(|(id, b)| (*id, b.held()));
+            let held = held.filter(|b| victim_of_body(Some(*b)).is_some());
+            let gain: usize = held.map(|(_, h)| h).sum();
+            if bytes > free + gain {
+                return false;
+            }
+        }
         while bytes > self.room.free() {
             let Some(id) = victim_of_body(self.largest(None)) else {
                 return false;
@@ -267,7 +280,8 @@
 pub(crate) struct BacklogSender {
     all: Backlogs,
     backlog: Rc<Backlog>,
-    /// Longest time in which the present leader's stream was not read.
+    /// Longest time in which the present leader's stream was not read, since its caller last
+    /// had everything.
     longest_pause: Cell<Duration>,
 }
 
@@ -287,12 +301,19 @@
                     self.end(true);
                     return Err(Closed::TooSlow(arrival.held + arrival.more));
                 }
+                Verdict::DropOwn => {
+                    self.all.evict(self.backlog.id);
+                    return Err(Closed::TooSlow(arrival.held + arrival.more));
+                }
                 Verdict::End(id) => {
                     self.all.evict(id);
                     continue;
                 }
+                Verdict::MakeRoom if self.all.make_room(arrival.more) => continue,
                 Verdict::AwaitCaller => deadline,
-                Verdict::AwaitRoom => deadline.min(Instant::now() + ROOM_CHECK_INTERVAL),
+                Verdict::MakeRoom | Verdict::AwaitRoom => {
+                    deadline.min(Instant::now() + ROOM_CHECK_INTERVAL)
+                }
             };
             if Instant::now() >= deadline {
                 // What has arrived in time is delivered if only its caller is late.
@@ -365,6 +386,15 @@
         self.longest_pause.set(Duration::ZERO);
     }
 
+    /// Records that a read from the leader gave data after this time. If the caller has
+    /// everything and the read had to wait, the stream has been caught up, and a later break
+    /// is the leader's.
+    pub(crate) fn on_read(&self, waited: Duration) {
+        if waited >= MIN_LEADER_WAIT && self.backlog.held() == 0 {
+            self.longest_pause.set(Duration::ZERO);
+        }
+    }
+
     /// Returns whether the present leader may have cut off the stream because it stayed
     /// unread.
     pub(crate) fn was_unread(&self) -> bool {
--- a/crates/entry/tests/unit/backlog.rs
+++ b/crates/entry/tests/unit/backlog.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use super::{BacklogReader, Backlogs, CHUNK_OVERHEAD, Closed, Cut, MIN_UNREAD_TIME, Reading, Room};
+use super::{BacklogReader, Backlogs, CHUNK_OVERHEAD, Closed, Cut, Reading, Room};
+use super::{MIN_LEADER_WAIT, MIN_UNREAD_TIME};
 
 const LIMIT: usize = 1 << 20;
 
@@ -172,3 +173,69 @@
     }
     assert_eq!(next(&mut reader).await, Some(Err(Cut)));
 }
+
+/// Guards against a pause that hides a failure of the leader long after the caller has read
+/// everything, and against blame for a leader whose stream is still being caught up.
+#[tokio::test]
+async fn a_pause_hides_later_failures() {
+    let (all, _) = backlogs(LIMIT);
+    let (sender, mut reader) = all.open(Reading::Paced);
+    for _ in 0..16 {
+        assert_eq!(sender.push(chunk(1, 10), deadline()).await, Ok(()));
+    }
+    let reading = async {
+        tokio::time::sleep(MIN_UNREAD_TIME).await;
+        next(&mut reader).await
+    };
+    let (pushed, _) = tokio::join!(sender.push(chunk(2, 10), deadline()), reading);
+    assert_eq!(pushed, Ok(()));
+    sender.on_read(MIN_LEADER_WAIT);
+    assert!(sender.was_unread(), "events still wait");
+    for _ in 0..16 {
+        assert!(matches!(next(&mut reader).await, Some(Ok(_))));
+    }
+    sender.on_read(Duration::ZERO);
+    assert!(sender.was_unread(), "data that had arrived before");
+    sender.on_read(MIN_LEADER_WAIT);
+    assert!(!sender.was_unread());
+}
+
+/// Guards against streams that end for a body which has no room even without them.
+#[tokio::test]
+async fn streams_end_for_a_body_that_fits_nowhere() {
+    let (all, _) = backlogs(300_000);
+    let (large, mut large_reader) = all.open(Reading::Ahead);
+    let (small, _small_reader) = all.open(Reading::Ahead);
+    assert_eq!(large.push(chunk(1, 200_000), deadline()).await, Ok(()));
+    assert_eq!(small.push(chunk(1, 10_000), deadline()).await, Ok(()));
+    assert!(!all.make_room(295_000), "small backlogs stay");
+    assert!(matches!(next(&mut large_reader).await, Some(Ok(_))));
+}
+
+/// Guards against a paced stream that waits for memory which slow callers hold.
+#[tokio::test]
+async fn a_paced_chunk_waits_for_slow_callers() {
+    let (all, _) = backlogs(300_000);
+    let (slow, _slow_reader) = all.open(Reading::Ahead);
+    assert_eq!(slow.push(chunk(1, 250_000), deadline()).await, Ok(()));
+    let (paced, _reader) = all.open(Reading::Paced);
+    let pushed = paced.push(chunk(2, 100_000), deadline());
+    let pushed = tokio::time::timeout(Duration::ZERO, pushed).await;
+    assert_eq!(pushed, Ok(Ok(())));
+    assert!(matches!(slow.closed().await, Closed::TooSlow(_)));
+}
+
+/// Guards against memory that a caller keeps after its stream has ended for the memory of all.
+#[tokio::test]
+async fn an_ended_caller_keeps_its_queue() {
+    let (all, room) = backlogs(300_000);
+    let (own, mut reader) = all.open(Reading::Ahead);
+    let (other, _other_reader) = all.open(Reading::Ahead);
+    assert_eq!(own.push(chunk(1, 200_000), deadline()).await, Ok(()));
+    assert_eq!(other.push(chunk(1, 90_000), deadline()).await, Ok(()));
+    let size = 200_000 + 20_000 + 2 * CHUNK_OVERHEAD;
+    let closed = own.push(chunk(1, 20_000), deadline()).await;
+    assert_eq!(closed, Err(Closed::TooSlow(size)));
+    assert_eq!(room.used(), 90_000 + CHUNK_OVERHEAD);
+    assert_eq!(next(&mut reader).await, Some(Err(Cut)));
+}
