Warn of entries without effect and contradicting limits before apply

Cause: `check` accepted valid files with routes, adapters or teams that no request can reach, and with limits that contradict each other. The operator learned of them from refused requests only.

Warnings never make files invalid, because daemons read stored files with the same check. `diff` now also reports errors of the files, after the differences, with exit code 2.

`diff` has no test of its own.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -7,6 +7,7 @@
 use bulrushhoist_core::{DataCentreName, RequestId, Revision};
 use lexopt::{Arg, Parser, ValueExt as _};
 
+use crate::check::WarningPolicy;
 use crate::output::{OutputFormat, Printer};
 
 /// Default time to wait until a change is in force, in seconds.
@@ -28,7 +29,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
     /// Check a directory of files.
-    Check(PathBuf),
+    Check {
+        /// The directory.
+        directory: PathBuf,
+        /// Whether warnings make the check fail.
+        warnings: WarningPolicy,
+    },
     /// Compare a directory with the stored configuration.
     Diff(PathBuf),
     /// Make the files of a directory the configuration.
@@ -91,6 +97,7 @@
     base: Option<u64>,
     wait: bool,
     force: bool,
+    warnings: WarningPolicy,
     help: bool,
     version: bool,
 }
@@ -133,7 +140,7 @@
 fn needs_platform(command: &Command) -> bool {
     !matches!(
         command,
-        Command::Check(_) | Command::Help(_) | Command::Version
+        Command::Check { .. } | Command::Help(_) | Command::Version
     )
 }
 
@@ -146,6 +153,7 @@
             Arg::Long("timeout") => raw.timeout_s = Some(parser.value()?.parse()?),
             Arg::Long("base") => raw.base = Some(parser.value()?.parse()?),
             Arg::Long("wait") => raw.wait = true,
+            Arg::Long("deny-warnings") => raw.warnings = WarningPolicy::Deny,
             Arg::Long("force") => raw.force = true,
             Arg::Short('q') | Arg::Long("quiet") => raw.verbosity = Verbosity::Quiet,
             Arg::Short('v') | Arg::Long("verbose") => raw.verbosity = Verbosity::Verbose,
@@ -175,7 +183,10 @@
         [] => Command::Help(None),
         ["help"] => Command::Help(None),
         ["help", topic] => Command::Help(Some((*topic).to_owned())),
-        ["check", directory] => Command::Check(directory.into()),
+        ["check", directory] => Command::Check {
+            directory: directory.into(),
+            warnings: raw.warnings,
+        },
         ["diff", directory] => Command::Diff(directory.into()),
         ["apply", directory] => Command::Apply {
             directory: directory.into(),
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,6 +11,7 @@
 
 use crate::apply::{ApplyReport, FileDifference, apply_files, differences, stored_files};
 use crate::arguments::{Arguments, Command, Verbosity};
+use crate::check::{CheckReport, WarningPolicy, check};
 use crate::data_centres::{remaining_replicas, set_service_state};
 use crate::error::CliError;
 use crate::files::read_directory;
@@ -48,21 +49,31 @@
                 .print(&json!({ "version": env!("CARGO_PKG_VERSION") }), || {
                     vec![format!("bulrushhoist {}", env!("CARGO_PKG_VERSION"))]
                 }),
-            Command::Check(directory) => {
-                let files = read_directory(directory)?;
-                check_files(&files)?;
-                let count = files.len();
-                self.print(&json!({ "files": count }), || {
-                    vec![format!("{count} files are valid")]
+            Command::Check {
+                directory,
+                warnings,
+            } => {
+                let report = check(&read_directory(directory)?, *warnings)?;
+                self.print(&json!(report), || {
+                    let mut lines: Vec<String> = report.warning_lines().collect();
+                    lines.push(format!("{} files are valid", report.files));
+                    lines
                 });
             }
             Command::Diff(directory) => {
                 let files = read_directory(directory)?;
                 let (_, stored) = stored_files(&self.store).await?;
                 let found = differences(&stored, &files);
-                self.print(&json!({ "differences": found }), || {
-                    difference_lines(&found)
+                let checked = check(&files, WarningPolicy::Report);
+                let warnings = checked.as_ref().ok().map(|r| &r.warnings);
+                let value = json!({ "differences": found, "warnings": warnings });
+                self.print(&value, || {
+                    let mut lines = difference_lines(&found);
+                    lines.extend(checked.iter().flat_map(CheckReport::warning_lines));
+                    lines
                 });
+                // The differences help to find the problems, so they are shown first.
+                checked?;
                 return Ok(if found.is_empty() { 0 } else { EXIT_DIFFERENT });
             }
             Command::Apply {
--- a/crates/cli/src/commands/help.rs
+++ b/crates/cli/src/commands/help.rs
@@ -55,17 +55,22 @@
 ";
 
 const CHECK: &str = "\
-usage: bulrushhoist check DIR
+usage: bulrushhoist check DIR [--deny-warnings]
 
 Checks all .toml files of DIR together and shows every problem with its file,
-line, key, the value found and the values allowed. Needs no platform.
+line, key, the value found and the values allowed. If there is none, shows
+warnings for entries without effect and limits that contradict each other.
+Needs no platform.
+
+  --deny-warnings  fail with exit code 2 if there are warnings
 ";
 
 const DIFF: &str = "\
 usage: bulrushhoist diff DIR
 
 Shows which files and lines of DIR differ from the stored configuration. The
-exit code is 3 if any differ.
+exit code is 3 if any differ, and 2 if the files of DIR have problems. Warnings
+are shown as with `check`.
 ";
 
 const STATUS: &str = "\
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -26,6 +26,14 @@
     /// The deployment's files have problems; nothing was stored.
     #[display("{_0}")]
     Problems(Problems),
+    /// The deployment's files are valid but have warnings, which were denied.
+    #[display("warnings are denied\n{warnings}")]
+    #[from(skip)]
+    Warnings {
+        /// The warnings.
+        #[error(not(source))]
+        warnings: Problems,
+    },
     /// A call to the platform failed.
     #[display("platform: {_0}")]
     Store(StoreError),
@@ -71,7 +79,7 @@
     #[must_use]
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) | Self::Problems(_) | Self::Read { .. } => 2,
+            Self::Usage(_) | Self::Problems(_) | Self::Warnings { .. } | Self::Read { .. } => 2,
             Self::Conflict { .. } | Self::Store(StoreError::Platform(PlatformError::Conflict)) => 4,
             Self::NotInForce { .. } => 5,
             Self::Store(StoreError::Unknown) => 6,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod arguments;
+mod check;
 mod commands;
 mod data_centres;
 mod error;
@@ -14,6 +15,7 @@
 
 pub use apply::{ApplyReport, FileChange, FileDifference, apply_files, differences, stored_files};
 pub use arguments::{Arguments, Command, Verbosity, parse_arguments};
+pub use check::{CheckReport, WarningPolicy, check};
 pub use commands::run;
 pub use data_centres::{ReplicaCounts, remaining_replicas, set_service_state};
 pub use error::CliError;
--- a/crates/cli/tests/arguments.rs
+++ b/crates/cli/tests/arguments.rs
@@ -1,6 +1,8 @@
 //! Tests of the command-line parser and of the comparison of files.
 
-use bulrushhoist_cli::{Command, FileChange, OutputFormat, differences, parse_arguments};
+use bulrushhoist_cli::{
+    Command, FileChange, OutputFormat, WarningPolicy, check, differences, parse_arguments,
+};
 use bulrushhoist_core::{Revision, SourceFile};
 use lexopt::Parser;
 
@@ -74,3 +76,29 @@
         (2, "y = 3")
     );
 }
+
+// A warning that fails a check would block files that daemons accept; one that is denied
+// must fail the check, or a pipeline passes over it.
+#[test]
+fn warnings_fail_a_check_only_if_they_are_denied() {
+    let arguments = parse(&["check", "dir", "--deny-warnings"]).expect("the command line is valid");
+    let expected = Command::Check {
+        directory: "dir".into(),
+        warnings: WarningPolicy::Deny,
+    };
+    assert_eq!(arguments.command, expected);
+    let token = "a".repeat(64);
+    let text =
+        format!("[teams.a]\ntoken-sha256 = \"{token}\"\n[teams.b]\ntoken-sha256 = \"{token}\"\n");
+    let files = [SourceFile {
+        name: "teams.toml".into(),
+        text,
+    }];
+    let report = check(&files, WarningPolicy::Report).expect("the files are valid");
+    let lines: Vec<String> = report.warning_lines().collect();
+    assert_eq!(lines.len(), 1);
+    assert!(lines[0].starts_with("warning: teams.toml:4: teams.b.token-sha256: "));
+    let error = check(&files, WarningPolicy::Deny).expect_err("warnings are denied");
+    assert_eq!(error.exit_code(), 2);
+    assert!(error.to_string().contains("teams.toml:4"));
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod join;
 mod lease;
 mod limit;
+mod lint;
 mod membership;
 mod objects;
 mod placement;
@@ -52,6 +53,7 @@
 pub use join::{JoinTracker, ShareStatement};
 pub use lease::{LeaseSettings, LeaseStep, LeaseTracker};
 pub use limit::{LimitSettings, ReplicaLimit, share_of};
+pub use lint::lint_files;
 pub use membership::{MemberState, MemberUpdate, Membership, MembershipSettings, ProbeTarget};
 pub use objects::{Envelope, ObjectKey, SharedBody};
 pub use placement::{Order, OrderKind, PlacementSettings, Plan, PlanInput, Planner};
