Keep two spares of other models beside surge groups

Cause: with one spare for the 16-VM model its groups couldn't replace a second lost member for the 16 s of a load. Tests of fleet pass.

--- a/crates/fleet/src/planner/surge.rs
+++ b/crates/fleet/src/planner/surge.rs
@@ -4,8 +4,8 @@
 //!
 //! - A surge group is in one fabric domain, and its members had the weights when it was
 //!   formed, so that it opens as fast as spares join.
-//! - It takes no model's last spare of a domain with a group of that model, except that
-//!   of its own model, for which it stands in itself.
+//! - It leaves two spares for each other model with a group in its domain, unless that model
+//!   has none there anyway. It may take all of its own model, for which it stands in itself.
 //! - It isn't wanted: it doesn't count as missing when it is lost, and it is given up when
 //!   it loses a member.
 //! - It stays when demand falls, until a wanted group needs it. So demand that swings
@@ -252,11 +252,12 @@
             let is_taken = |v: &VmView<'_>| taken.iter().any(|t| t.endpoint.id == v.endpoint.id);
             let others = self.engine.models.iter().filter(|m| m.name != model.name);
             let mut here = others.filter(|m| self.present.has(domain, &m.name));
-            let loses_last = here.any(|other| {
-                let mut spares = free.iter().filter(|v| v.has_staged(&other.name)).peekable();
-                spares.peek().is_some() && spares.all(|v| is_taken(v))
+            let lacks_reserve = here.any(|other| {
+                let spares = free.iter().filter(|v| v.has_staged(&other.name));
+                let left = spares.clone().filter(|v| !is_taken(v)).count();
+                left < RESERVED_SPARES && spares.count() > 0
             });
-            if loses_last {
+            if lacks_reserve {
                 return None;
             }
             let surges = self.surges.get(domain).copied().unwrap_or(0);
