--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -15,7 +15,7 @@
 use crate::pool::ConnectionPool;
 
 /// Timeout for fetching a report.
-pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
 /// Timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum size of an answer.
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -17,7 +17,7 @@
 use slog::{debug, info, warn};
 use tokio::task::spawn_local;
 
-use crate::control::{ControlConnections, REPORT_TIMEOUT};
+use crate::control::ControlConnections;
 use crate::demand;
 use crate::dialect::ObjectKind;
 use crate::node::Node;
@@ -32,9 +32,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval between two probes of a VM in a group with a suspected member.
 const SUSPECT_PROBE_INTERVAL: Duration = Duration::from_millis(200);
-/// The same for a latency-critical service: the time of a probe that isn't answered, so that
-/// the second one follows at once when the first has failed.
-const CRITICAL_PROBE_INTERVAL: Duration = REPORT_TIMEOUT;
 /// Share of the published rate of model loads that is used.
 const LOAD_RATE_SHARE: f64 = 0.9;
 /// Shortest suspension of this VM after which sent orders are forgotten and the plan is
@@ -351,8 +348,11 @@
                 let health = state.monitor.health(now, &e.id, e.incarnation);
                 health != Health::Alive || state.roster.get(&e.id).is_none()
             });
-            let critical = state.catalog.is_latency_critical(&group.service);
-            let interval = probe_interval(suspected, critical);
+            let interval = if suspected {
+                SUSPECT_PROBE_INTERVAL
+            } else {
+                PROBE_INTERVAL
+            };
             for endpoint in members {
                 let last = probed.get(&endpoint.id);
                 if last.is_none_or(|t| now.since(*t) >= interval) {
@@ -364,16 +364,3 @@
         due
     }
 }
-
-/// Returns the interval between two probes of the members of a group.
-fn probe_interval(suspected: bool, critical: bool) -> Duration {
-    match (suspected, critical) {
-        (false, _) => PROBE_INTERVAL,
-        (true, false) => SUSPECT_PROBE_INTERVAL,
-        (true, true) => CRITICAL_PROBE_INTERVAL,
-    }
-}
-
-#[cfg(test)]
-#[path = "../tests/unit/groups.rs"]
-mod tests;
