Let surge groups make way for a missing group of another model

Cause (review): a domain whose free VMs make up a missing large group only together with the members of surge groups kept the surge groups, and the large group stayed lost: the guard looked at free VMs alone, and only where surge groups were formed. A surge group was also given up for one slow member, which a wanted group isn't.

Change: before groups are formed, the newest surge groups of such a domain are given up. Surge groups are given up for lost members only.

--- a/crates/fleet/src/planner/formation.rs
+++ b/crates/fleet/src/planner/formation.rs
@@ -26,6 +26,7 @@
     surge::give_up_broken(engine, service, vms, &mut next);
     repair::repair(engine, service, vms, &mut next, eligibility);
     surge::adopt(engine, service, vms, &mut next);
+    surge::make_way(engine, service, vms, &mut next);
     form(engine, service, vms, &mut next, eligibility);
     let consolidation = consolidate::consolidate(engine, service, vms, &mut next);
     let mut targets = surge::SpareTargets::default();
--- a/crates/fleet/src/planner/surge.rs
+++ b/crates/fleet/src/planner/surge.rs
@@ -36,17 +36,61 @@
 /// loses more slots than a surge group adds.
 const RESERVED_SPARES: usize = 2;
 
-/// Removes the surge groups that lost a member or have a slow one. Their other members
-/// become spares: a wanted group may need these more.
+/// Removes the surge groups that lost a member. Their other members become spares: a wanted
+/// group may need these more.
 pub(super) fn give_up_broken(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
     let is_broken = |g: &GroupPlan| {
         let known = engine.models.iter().any(|m| *m.name == *g.model);
-        !known || !is_whole(vms, g) || g.members.iter().any(|m| vms[m.id.as_str()].is_slow())
+        !known || !is_whole(vms, g)
     };
     plan.groups
         .retain(|g| !g.surge || g.service != service || !is_broken(g));
 }
 
+/// Removes the surge groups whose members a missing wanted group of another model needs: those
+/// of a domain that has too few free VMs for it, but enough with the members of surge groups.
+pub(super) fn make_way(engine: &Engine, service: &str, vms: &Vms<'_>, plan: &mut Plan) {
+    if !plan.groups.iter().any(|g| g.surge) {
+        return;
+    }
+    for model in &engine.models {
+        let is_other = |g: &GroupPlan| g.surge && g.service == service && *g.model != *model.name;
+        for _ in 0..missing_groups(model, vms, plan) {
+            let free = FreeVms::find(vms, plan);
+            if free
+                .domains()
+                .any(|(_, free)| free.len() >= model.group_size)
+            {
+                break;
+            }
+            let mut members: BTreeMap<&str, usize> = BTreeMap::new();
+            for group in plan.groups.iter().filter(|g| is_other(g)) {
+                let leader = group.members.first().and_then(|m| vms.get(m.id.as_str()));
+                if let Some(leader) = leader {
+                    *members.entry(&*leader.endpoint.domain).or_default() += group.members.len();
+                }
+            }
+            let sums = members.into_iter();
+            let sums = sums.map(|(domain, count)| (count + free.in_domain(domain).len(), domain));
+            let Some((_, domain)) = sums.max().filter(|(sum, _)| *sum >= model.group_size) else {
+                break;
+            };
+            let mut needed = model.group_size - free.in_domain(domain).len();
+            while needed > 0 {
+                let newest = plan
+                    .groups
+                    .iter()
+                    .rposition(|g| is_other(g) && is_in_domain(vms, g, domain));
+                let Some(newest) = newest else {
+                    break;
+                };
+                let removed = plan.groups.remove(newest);
+                needed = needed.saturating_sub(removed.members.len());
+            }
+        }
+    }
+}
+
 /// Returns whether every member of a group works and its leader gets requests.
 fn is_whole(vms: &Vms<'_>, group: &GroupPlan) -> bool {
     let works = |m: &MemberPlan| {
