Split the choice of a leader: sort the leaders by health first

Cause: State::choose_leader had grown to 120 lines with six local lists, and a reader had to keep track of which leader may be chosen for what reason.

Change: leaders_of gathers the leaders by health, LeadersByHealth says which of them are used and when to wait for one that rejects. No change of logic; the 44 unit tests of the crate pass.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -8,7 +8,7 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Candidate, ColdLimiter, Engine, Health, LeaderChoice, LeaderChoiceSettings, Name,
-    PlainCandidate, PlainChoice, RequestTimes, SlotLimit, Work, choose_leader,
+    PlainCandidate, PlainChoice, RequestTimes, Service, SlotLimit, Work, choose_leader,
     choose_plain_endpoint, published_request_time,
 };
 use smallvec::SmallVec;
@@ -17,6 +17,53 @@
 use crate::sends::time_factor;
 use crate::state::{COLD_RATE_FACTOR, HeldBack, MAX_LIMITED_TIME, State};
 
+/// The leaders of a model that may be chosen, by health, and why others may not.
+#[derive(Default)]
+struct LeadersByHealth {
+    candidates: SmallVec<[Candidate; 16]>,
+    /// Leaders whose begun streams of this entry are silent.
+    quiet: SmallVec<[Candidate; 4]>,
+    suspects: SmallVec<[Candidate; 4]>,
+    /// Why the first of the others may not be sent a request, and for how long.
+    held: Option<HeldBack>,
+    /// Time until the first unsuspected leader that rejected a request may be used again.
+    rejecting: Option<Duration>,
+    /// The same for leaders that were full.
+    full: Option<Duration>,
+    /// Rate of requests that the leaders' limits leave to this entry, per second.
+    rate: f64,
+}
+
+impl LeadersByHealth {
+    /// Records that a leader is excluded for this time because it rejected a request.
+    fn exclude(&mut self, time: Duration, unfit: bool) {
+        let sooner = |known: Option<Duration>| Some(known.map_or(time, |t| t.min(time)));
+        self.rejecting = sooner(self.rejecting);
+        if !unfit {
+            self.full = sooner(self.full);
+        }
+    }
+
+    /// Returns how long to wait for a leader that rejected a request where no other is alive.
+    ///
+    /// A full leader has slots again before a quiet or suspected one is known to serve. An
+    /// unfit one may not, and a quiet one that isn't suspected is the better choice.
+    fn exclusion(&self) -> Option<Duration> {
+        let awaited = match self.quiet.is_empty() {
+            true => self.rejecting,
+            false => self.full,
+        };
+        awaited.filter(|_| self.candidates.is_empty())
+    }
+
+    /// Returns the leaders of the best health that any has.
+    fn healthiest(&self) -> &[Candidate] {
+        let by_health = [&self.candidates[..], &self.quiet[..], &self.suspects[..]];
+        let best = by_health.into_iter().find(|c| !c.is_empty());
+        best.unwrap_or_default()
+    }
+}
+
 impl State {
     /// Returns whether this entry has used up its share of a model's slots before it has
     /// received the loads of all other entries. The share prevents overload after a restart
@@ -57,65 +104,16 @@
             return LeaderChoice::Unavailable;
         };
         let time_factor = time_factor(engine, model);
-        let usable = self
-            .roster
-            .leaders(service, model)
-            .filter(|e| !avoid.contains(&e.id));
-        let mut suspects: SmallVec<[Candidate; 4]> = SmallVec::new();
         let critical = catalog.is_latency_critical(service);
-        let mut quiet: SmallVec<[Candidate; 4]> = SmallVec::new();
-        let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
-        let mut held: Option<HeldBack> = None;
-        // Times until the first unsuspected leader that rejected a request may be used again,
-        // and the first of them that was full.
-        let (mut rejecting, mut full) = (None::<Duration>, None::<Duration>);
-        let mut rate = 0.0;
-        for leader in usable {
-            rate += self
-                .limits
-                .share(&leader.id, leader.incarnation)
-                .unwrap_or(0.0);
-            if let Some(reason) = self.held_back(now, leader) {
-                held = Some(held.map_or(reason, |h| h.sooner(reason)));
-                let rejected = self.fitness.remaining(now, &leader.id, leader.incarnation);
-                if rejected.is_some() && self.health(now, leader) == Health::Alive {
-                    let time = reason.time();
-                    rejecting = Some(rejecting.map_or(time, |t| t.min(time)));
-                    if !self.fitness.is_unfit(&leader.id, leader.incarnation) {
-                        full = Some(full.map_or(time, |t| t.min(time)));
-                    }
-                }
-                continue;
-            }
-            let candidate = Candidate {
-                id: leader.id.clone(),
-                batch: self.batch(now, &leader.id),
-                own: self.own_batch(&leader.id),
-                local: &*leader.data_centre == data_centre,
-                slowdown: self.slowdown(now, engine, leader),
-                cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
-            };
-            let factor = time_factor * candidate.slowdown;
-            match self.health(now, leader) {
-                Health::Alive if critical && self.is_quiet(now, &leader.id, engine, factor) => {
-                    quiet.push(candidate);
-                }
-                Health::Alive => candidates.push(candidate),
-                Health::Suspect => suspects.push(candidate),
-                Health::Silent | Health::Dead => {}
-            }
-        }
-        // A full leader has slots again before a quiet or suspected one is known to serve. An
-        // unfit one may not, and a quiet one that isn't suspected is the better choice.
-        let awaited = if quiet.is_empty() { rejecting } else { full };
-        if let Some(remaining) = awaited.filter(|_| critical && candidates.is_empty()) {
+        let leaders = self.leaders_of(now, data_centre, key, configured, engine, avoid);
+        if let Some(remaining) = leaders.exclusion().filter(|_| critical) {
             return LeaderChoice::Paused(remaining);
         }
         let entries = self.entries(now);
         let queue = self.queues.get(key);
         let own_rate = queue.map_or(0.0, |q| q.waiting.start_rate(now));
         let age = self.peers.view_age();
-        let stale_view = catalog.is_latency_critical(service).then(|| {
+        let stale_view = critical.then(|| {
             let prior = published_request_time(engine, time_factor, work);
             let times = self.request_times.get(key);
             let unmeasured = RequestTimes::default();
@@ -128,17 +126,16 @@
             stale_view,
             ..LeaderChoiceSettings::default()
         };
-        let by_health = [&candidates[..], &quiet[..], &suspects[..]];
-        let chosen = by_health.into_iter().find(|c| !c.is_empty());
-        let chosen = chosen.unwrap_or_default();
-        match held {
+        let chosen = leaders.healthiest();
+        match leaders.held {
             Some(HeldBack::Paused(remaining)) if chosen.is_empty() => {
                 return LeaderChoice::Paused(remaining);
             }
             Some(HeldBack::Limited(remaining)) if chosen.is_empty() => {
                 // Those that wait already go first.
                 let ahead = queue.map_or(0, |q| q.waiting.len()) as f64;
-                let ahead = Duration::try_from_secs_f64(ahead / rate).unwrap_or(MAX_LIMITED_TIME);
+                let ahead =
+                    Duration::try_from_secs_f64(ahead / leaders.rate).unwrap_or(MAX_LIMITED_TIME);
                 return LeaderChoice::Limited(remaining.saturating_add(ahead));
             }
             _ => {}
@@ -157,6 +154,59 @@
         )
     }
 
+    /// Sorts the leaders of a model by what this entry knows of their health.
+    fn leaders_of(
+        &self,
+        now: Time,
+        data_centre: &str,
+        key: &ModelKey,
+        configured: &Service,
+        engine: &Engine,
+        avoid: &[Name],
+    ) -> LeadersByHealth {
+        let (service, model) = key;
+        let time_factor = time_factor(engine, model);
+        let usable = self
+            .roster
+            .leaders(service, model)
+            .filter(|e| !avoid.contains(&e.id));
+        let critical = self.catalog.is_latency_critical(service);
+        let mut found = LeadersByHealth::default();
+        for leader in usable {
+            found.rate += self
+                .limits
+                .share(&leader.id, leader.incarnation)
+                .unwrap_or(0.0);
+            if let Some(reason) = self.held_back(now, leader) {
+                found.held = Some(found.held.map_or(reason, |h| h.sooner(reason)));
+                let rejected = self.fitness.remaining(now, &leader.id, leader.incarnation);
+                if rejected.is_some() && self.health(now, leader) == Health::Alive {
+                    let unfit = self.fitness.is_unfit(&leader.id, leader.incarnation);
+                    found.exclude(reason.time(), unfit);
+                }
+                continue;
+            }
+            let candidate = Candidate {
+                id: leader.id.clone(),
+                batch: self.batch(now, &leader.id),
+                own: self.own_batch(&leader.id),
+                local: &*leader.data_centre == data_centre,
+                slowdown: self.slowdown(now, engine, leader),
+                cold_limited: !self.has_cold_capacity(now, &leader.id, configured.cold_per_s),
+            };
+            let factor = time_factor * candidate.slowdown;
+            match self.health(now, leader) {
+                Health::Alive if critical && self.is_quiet(now, &leader.id, engine, factor) => {
+                    found.quiet.push(candidate);
+                }
+                Health::Alive => found.candidates.push(candidate),
+                Health::Suspect => found.suspects.push(candidate),
+                Health::Silent | Health::Dead => {}
+            }
+        }
+        found
+    }
+
     /// Chooses an endpoint of a service without engines, preferring those that this call
     /// has not tried.
     pub(crate) fn choose_endpoint(
