--- a/review/standin-2/src/earlier_life.rs
+++ b/review/standin-2/src/earlier_life.rs
@@ -18,7 +18,7 @@
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let late: Mutex<Option<(Instant, String)>> = Mutex::default();
     // The replica crashes soon after its start, before it is in a group.
-    let site = Site::start(record, &CUPWRIGHT, 2, 1, |fleet, _| {
+    let site = Site::start(record, &CUPWRIGHT, (2, 8), 1, |fleet, _| {
         thread::sleep(Duration::from_millis(200));
         let heartbeat = fleet.entry_of(CRASHING);
         record.line(&format!("a heartbeat of {CRASHING} gets no answer: {heartbeat}"));
--- a/review/standin-2/src/foreign_entry.rs
+++ b/review/standin-2/src/foreign_entry.rs
@@ -13,7 +13,7 @@
 const CONSUMERS: usize = 8;
 
 pub fn play(record: &Record, trouble: bool) -> Outcome {
-    let site = match Site::start(record, &CUPWRIGHT, 4, 1, |_, _| {}) {
+    let site = match Site::start(record, &CUPWRIGHT, (4, 8), 1, |_, _| {}) {
         Ok(site) => site,
         Err(why) => return Outcome::CannotRun(why),
     };
--- a/review/standin-2/src/late_heartbeat.rs
+++ b/review/standin-2/src/late_heartbeat.rs
@@ -33,7 +33,7 @@
 }
 
 pub fn play(record: &Record, trouble: bool) -> Outcome {
-    let site = match Site::start(record, &CUPWRIGHT, 4, 1, |_, _| {}) {
+    let site = match Site::start(record, &CUPWRIGHT, (4, 8), 1, |_, _| {}) {
         Ok(site) => site,
         Err(why) => return Outcome::CannotRun(why),
     };
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -11,6 +11,7 @@
 mod http;
 mod json;
 mod late_heartbeat;
+mod late_join;
 mod record;
 mod replica;
 mod site;
@@ -40,6 +41,7 @@
         "foreign-entry" => foreign_entry::play(&record, trouble),
         "late-heartbeat" => late_heartbeat::play(&record, trouble),
         "earlier-life" => earlier_life::play(&record, trouble),
+        "late-join" => late_join::play(&record, trouble),
         other => Outcome::CannotRun(format!("no case {other}")),
     };
     let (code, text) = match outcome {
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -58,6 +58,10 @@
     sequence: u64,
     beats: u64,
     active: usize,
+    /// Whether it is cut off from the store.
+    cut_off: bool,
+    /// How many of the next joins it leaves unanswered, to be carried out late.
+    unanswered: usize,
     /// Whether it has said that it will leave.
     draining: bool,
     /// Since when the head has stood still because a member is missing.
@@ -79,6 +83,8 @@
     runs: Mutex<BTreeMap<String, Vec<Run>>>,
     store: Store,
     record: Record,
+    /// Joins that were left unanswered.
+    unanswered: Mutex<Vec<Json>>,
     /// The pause in seconds with which the next stream is turned away.
     pause: Mutex<Option<u64>>,
     /// Joins that were taken while the head of the former group was open or closing.
@@ -101,6 +107,7 @@
             runs: Mutex::default(),
             store,
             record,
+            unanswered: Mutex::default(),
             pause: Mutex::default(),
             early_joins: Mutex::default(),
         }))
@@ -160,6 +167,34 @@
         self.beat(setup);
     }
 
+    /// Lets a replica leave its next joins unanswered.
+    pub fn leave_unanswered(&self, id: &str, joins: usize) {
+        self.0.states.lock().unwrap().get_mut(id).expect("it was started").unanswered = joins;
+    }
+
+    /// Returns the joins that were left unanswered and weren't carried out yet.
+    pub fn unanswered(&self) -> Vec<Json> {
+        self.0.unanswered.lock().unwrap().clone()
+    }
+
+    /// Lets a replica carry out an order late.
+    pub fn carry_out(&self, id: &str, order: &Json) {
+        let status = self.order(&self.setup(id), order);
+        self.0.record.line(&format!("late order to {id}: {} -> {status}", order.write()));
+    }
+
+    /// Cuts a replica off from the store.
+    pub fn cut_off(&self, id: &str) {
+        self.0.states.lock().unwrap().get_mut(id).expect("it was started").cut_off = true;
+        self.0.record.line(&format!("{id} is cut off from the store"));
+    }
+
+    /// Returns the members of a replica's group, the head first.
+    pub fn members_with(&self, id: &str) -> Vec<String> {
+        let states = self.0.states.lock().unwrap();
+        states[id].membership.as_ref().map_or_else(Vec::new, |m| m.members.clone())
+    }
+
     /// Lets a replica say that it will leave.
     pub fn drain(&self, id: &str) {
         self.0.states.lock().unwrap().get_mut(id).expect("it was started").draining = true;
@@ -212,6 +247,9 @@
     }
 
     fn register(&self, setup: &Setup) {
+        if self.0.states.lock().unwrap()[&setup.id].cut_off {
+            return;
+        }
         self.0.store.put("servers", &setup.id, &self.entry_text(setup));
     }
 
@@ -274,6 +312,12 @@
             "/-/order" => {
                 let text = String::from_utf8_lossy(&request.body).into_owned();
                 let order = json::parse(&text).unwrap_or(Json::Null);
+                if order.get("Op").text() == Some("join") && self.is_unanswered(&setup.id) {
+                    self.0.record.line(&format!("order to {}: {text}, no answer", setup.id));
+                    self.0.unanswered.lock().unwrap().push(order);
+                    thread::sleep(Duration::from_secs(2));
+                    return false;
+                }
                 let status = self.order(setup, &order);
                 self.0.record.line(&format!("order to {}: {text} -> {status}", setup.id));
                 http::answer(stream, status, "", "")
@@ -288,6 +332,14 @@
         }
     }
 
+    fn is_unanswered(&self, id: &str) -> bool {
+        let mut states = self.0.states.lock().unwrap();
+        let state = states.get_mut(id).expect("it was started");
+        let is_one = state.unanswered > 0;
+        state.unanswered -= usize::from(is_one);
+        is_one
+    }
+
     fn order(&self, setup: &Setup, order: &Json) -> &'static str {
         let group = order.get("group").text().unwrap_or("").to_owned();
         let epoch = order.get("epoch").number().unwrap_or(0);
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -112,7 +112,7 @@
     pub fn start(
         record: &Record,
         sheet: &Sheet,
-        replicas: usize,
+        (replicas, per_domain): (usize, usize),
         groups: usize,
         during_start: impl FnOnce(&Fleet, &Store),
     ) -> Result<Self, String> {
@@ -129,7 +129,7 @@
                 service: "model".into(),
                 address: network.address(4),
                 zone: sheet.zone.into(),
-                domain: "d1".into(),
+                domain: format!("d{}", number / per_domain),
                 slots: sheet.slots,
                 engine: true,
                 pace: sheet.pass,
--- a/review/standin-2/src/stop_in_line.rs
+++ b/review/standin-2/src/stop_in_line.rs
@@ -26,7 +26,7 @@
 const EXCUSED_SENDS: Duration = Duration::from_secs(3);
 
 pub fn play(record: &Record, trouble: bool) -> Outcome {
-    let mut site = match Site::start(record, &KARNLOGG, 2, 1, |_, _| {}) {
+    let mut site = match Site::start(record, &KARNLOGG, (2, 8), 1, |_, _| {}) {
         Ok(site) => site,
         Err(why) => return Outcome::CannotRun(why),
     };
