--- a/review/standin-2/src/entry.rs
+++ b/review/standin-2/src/entry.rs
@@ -91,7 +91,8 @@
     /// Sends a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
