Log and count that the store came back from a copy

Callers got 404 for routes that operators had added after the store's return, and no line said that its history had gone back. Entries now read the era that the store sends with each answer and log its rise, each list after the first with the revision from which they continue, and each configuration that is dropped as not newer. No decision changes.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
@@ -148,12 +149,12 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), ConnectionError> {
+    ) -> Result<(Parts, Bytes), ConnectionError> {
         let answered = tokio::time::timeout(limit, self.send(request)).await;
         let answer = answered.unwrap_or(Err(ConnectionError::TimedOut))?;
-        let status = answer.status();
-        let body = collect_while_arriving(answer.into_body(), max_bytes).await?;
-        Ok((status, body))
+        let (head, body) = answer.into_parts();
+        let body = collect_while_arriving(body, max_bytes).await?;
+        Ok((head, body))
     }
 }
 
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -43,6 +43,8 @@
     pub limit: HeaderName,
     /// Stamp by which an endpoint shows that it made the answer.
     pub stamp: HeaderName,
+    /// Era of the store in all its answers. It rises when the store returns from a copy.
+    pub store_era: HeaderName,
 }
 
 /// A call that the entry answers itself instead of forwarding it to an endpoint.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -58,6 +58,8 @@
     body_bytes: Gauge<u64>,
     limited: Gauge<u64>,
     version: Gauge<u64>,
+    store_era: Gauge<u64>,
+    old_objects: Counter<u64>,
     copy_age: Gauge<f64>,
     demand: Gauge<f64>,
 }
@@ -136,6 +138,10 @@
                 "bulrushhoist_odd_objects",
                 "Objects of the store that could not be used, by kind",
             ),
+            old_objects: counter(
+                "bulrushhoist_old_objects",
+                "Objects of the store that were not applied because a newer state is known, by kind",
+            ),
             bytes: counter(
                 "bulrushhoist_bytes",
                 "Bytes to other entries, and to and from endpoints in other data centres, by cause",
@@ -176,6 +182,10 @@
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            store_era: meter
+                .u64_gauge("bulrushhoist_store_era")
+                .with_description("Era of the store, which rises when it returns from a copy")
+                .build(),
             copy_age: meter
                 .f64_gauge("bulrushhoist_copy_age_seconds")
                 .with_description("Time since the store gave this entry's copy, by kind of object")
@@ -272,6 +282,11 @@
         self.odd_objects.add(count as u64, &[kind]);
     }
 
+    pub(crate) fn on_old_object(&self, kind: ObjectKind) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.old_objects.add(1, &[kind]);
+    }
+
     pub(crate) fn on_bytes(&self, cause: ByteCause, bytes: usize) {
         let cause = KeyValue::new("cause", cause.to_string());
         self.bytes.add(bytes as u64, &[cause]);
@@ -310,6 +325,10 @@
         self.version.record(version, &[]);
     }
 
+    pub(crate) fn set_store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     pub(crate) fn set_copy_age(&self, kind: ObjectKind, age: Duration) {
         let kind = KeyValue::new("kind", kind.to_string());
         self.copy_age.record(age.as_secs_f64(), &[kind]);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -67,7 +67,7 @@
         log: Logger,
         metrics: Metrics,
     ) -> Self {
-        let store = StoreClient::new(settings.store.address, dialect.clone());
+        let store = StoreClient::new(settings.store.address, dialect.clone(), log.clone());
         let seed = stable_hash([settings.node.as_bytes()]) ^ u64::from(std::process::id());
         let clock = Clock::new();
         let own = EntryInfo {
@@ -127,6 +127,9 @@
                 self.metrics.set_copy_age(kind, now.since(answered_at));
             }
         }
+        if let Some(era) = self.store.era() {
+            self.metrics.set_store_era(era);
+        }
         self.metrics.set_body_bytes(self.body_memory.used());
         self.metrics.export()
     }
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -191,6 +191,10 @@
 fn apply_catalog(node: &Node, object: &StoredObject) {
     let mut state = node.state.borrow_mut();
     if object.revision <= state.catalog_revision {
+        if object.revision < state.catalog_revision {
+            node.metrics.on_old_object(ObjectKind::Configuration);
+            info!(node.log, "configuration not newer"; "revision" => object.revision, "in_force" => state.catalog_revision);
+        }
         return;
     }
     match node.dialect.decode_catalog(&object.body) {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -427,9 +427,9 @@
         .insert(HOST, HeaderValue::from_static("relay"));
     let limit = limit.min(query.wait + ANSWER_MARGIN);
     let fetched = open.fetch_large(request, limit, MAX_ANSWER_BYTES).await;
-    let (status, body) = fetched.map_err(RelayError::NoAnswer)?;
+    let (head, body) = fetched.map_err(RelayError::NoAnswer)?;
     *connection = Some(open);
-    match status {
+    match head.status {
         StatusCode::OK => {}
         StatusCode::GONE => return Err(RelayError::HistoryGone),
         other => return Err(RelayError::Refused(other)),
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -1,6 +1,6 @@
 //! The client for the platform's store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,8 +10,10 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
+use slog::{Logger, warn};
 
 use crate::connection::{Connection, ConnectionError};
 use crate::dialect::{
@@ -81,25 +83,54 @@
 pub(crate) struct StoreClient {
     address: SocketAddr,
     dialect: Rc<dyn Dialect>,
+    log: Logger,
     idle_connection: RefCell<Option<Connection>>,
+    /// Highest era that an answer had.
+    era: Cell<Option<u64>>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr, dialect: Rc<dyn Dialect>) -> Self {
+    pub(crate) fn new(address: SocketAddr, dialect: Rc<dyn Dialect>, log: Logger) -> Self {
         Self {
             address,
             dialect,
+            log,
             idle_connection: RefCell::new(None),
+            era: Cell::new(None),
         }
     }
 
+    /// Returns the highest era that an answer of the store had.
+    pub(crate) fn era(&self) -> Option<u64> {
+        self.era.get()
+    }
+
+    /// Logs the first answer of a new era: the store has returned from a copy.
+    fn note_era(&self, headers: &HeaderMap) {
+        let Some(era) = self.read_era(headers) else {
+            return;
+        };
+        let known = self.era.get();
+        if known.is_none_or(|known| era > known) {
+            self.era.set(Some(era));
+            if known.is_some() {
+                warn!(self.log, "store restored from a copy"; "era" => era, "before" => known);
+            }
+        }
+    }
+
+    fn read_era(&self, headers: &HeaderMap) -> Option<u64> {
+        let value = headers.get(&self.dialect.headers().store_era)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
     async fn call(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<(Parts, Bytes), StoreError> {
         let kept = self
             .idle_connection
             .borrow_mut()
@@ -113,10 +144,10 @@
         };
         let request = self.request(method, path, body);
         let answer = connection.fetch_large(request, limit, MAX_ANSWER_BYTES);
-        let answer = answer.await;
-        let (status, body) = answer.map_err(StoreError::NoAnswer)?;
+        let (head, body) = answer.await.map_err(StoreError::NoAnswer)?;
+        self.note_era(&head.headers);
         *self.idle_connection.borrow_mut() = Some(connection);
-        Ok((status, body))
+        Ok((head, body))
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
@@ -187,6 +218,7 @@
         let limit = wait + WATCH_MARGIN.min(margin);
         let answer = open.fetch_large(request, limit, MAX_ANSWER_BYTES).await;
         let answer = answer.map_err(StoreError::NoAnswer)?;
+        self.note_era(&answer.0.headers);
         *connection = Some(open);
         self.decode(answer, |d, b| d.decode_changes(b))
     }
@@ -224,10 +256,10 @@
 
     fn decode<T>(
         &self,
-        (status, body): (StatusCode, Bytes),
+        (head, body): (Parts, Bytes),
         decode: impl FnOnce(&dyn Dialect, &[u8]) -> Result<T, DecodeError>,
     ) -> Result<T, StoreError> {
-        match status {
+        match head.status {
             StatusCode::CONFLICT => Err(StoreError::Conflict),
             StatusCode::NOT_FOUND => Err(StoreError::Absent),
             StatusCode::GONE => Err(StoreError::HistoryGone),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -463,9 +463,13 @@
     /// Applies a complete list and keeps it for followers.
     fn replace(&mut self, objects: Vec<StoredObject>, revision: u64, origin: Origin) {
         let node = &self.node;
+        let (count, source) = (objects.len(), origin.relay.clone());
         node.relay.reset(self.kind, &objects, revision, origin);
         apply_list(node, self.kind, objects);
         self.cursor.advance(revision);
+        if self.listed {
+            info!(node.log, "listed anew"; "kind" => %self.kind, "source" => source.as_deref().unwrap_or("store"), "revision" => revision, "continues_from" => self.cursor.revision, "objects" => count);
+        }
         self.listed = true;
     }
 
