Recover the plan of groups that the store has lost

What callers saw: after the store's return from a copy no group was formed or repaired any more.

Cause: the copy's plan is older than the groups that run. The planner takes a VM with a later epoch for the sign of a newer plan and reads again, for ever. If no VM shows a later epoch, epochs are drawn a second time, and a late order of the lost plan can't be told from one of the new plan. A plan that can't be read took its epoch from the revision, which can be lower than the epochs in use.

Change: a plan names the era in which it was written. One of an earlier era is reconciled with what the VMs report (crates/fleet/src/planner/recovery.rs): a planned group whose members have moved on is dropped, a complete group that serves is planned as it is, epochs continue 1,000 above the highest that is known. The planner prefers the last plan that it stored itself. A conditional write that is answered in another era is read again: its revision may have been that of another writer's plan. One write of the plan for each era.

--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -12,7 +12,7 @@
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     Catalog, Demand, Endpoint, GroupPlan, Health, LoadLimits, Name, Order, Plan, Planner,
-    PlannerAction, PlannerSettings, vm_views,
+    PlannerAction, PlannerSettings, recover, vm_views,
 };
 use slog::{debug, info, warn};
 use tokio::task::spawn_local;
@@ -51,6 +51,8 @@
     plan: Plan,
     /// Its revision in the store, or `None` if the store has no plan.
     revision: Option<u64>,
+    /// Era of the store that had it.
+    era: u64,
     /// When it was read or written.
     read_at: Time,
 }
@@ -60,6 +62,8 @@
     node: Rc<Node>,
     connections: ControlConnections,
     planner: RefCell<Planner>,
+    /// The last plan that this entry has stored.
+    latest: RefCell<Plan>,
     /// When each VM was last probed.
     probed: RefCell<BTreeMap<Name, Time>>,
     /// Demand for the models of each latency-critical service. One that is older than its
@@ -73,6 +77,7 @@
         node: node.clone(),
         connections: ControlConnections::default(),
         planner: RefCell::new(Planner::new(PlannerSettings::default())),
+        latest: RefCell::default(),
         probed: RefCell::default(),
         demands: RefCell::default(),
     });
@@ -145,23 +150,23 @@
             Ok(plan) => Ok(StoredPlan {
                 plan,
                 revision: Some(answer.content.revision),
+                era: answer.era,
                 read_at: node.now(),
             }),
             Err(error) => {
                 warn!(node.log, "plan not usable, planning anew"; "cause" => %error);
                 Ok(StoredPlan {
-                    plan: Plan {
-                        // The lost epochs must not be used again. Revisions of the store
-                        // grow faster than epochs, so a revision is above all of them.
-                        epoch: answer.content.revision,
-                        ..Plan::default()
-                    },
+                    // Its era is unknown, so the groups that run and their epochs are
+                    // recovered.
+                    plan: Plan::default(),
                     revision: Some(answer.content.revision),
+                    era: answer.era,
                     read_at: node.now(),
                 })
             }
         },
         Err(StoreError::Absent) => Ok(StoredPlan {
+            era: node.store.era().unwrap_or(0),
             read_at: node.now(),
             ..StoredPlan::default()
         }),
@@ -186,6 +191,9 @@
             return Some(stored);
         }
         let catalog = self.node.state.borrow().catalog.clone();
+        if stored.plan.era < stored.era {
+            stored = self.recover(&catalog, stored).await?;
+        }
         self.probe(&stored.plan);
         for service in catalog.services().filter(|s| s.engine.is_some()) {
             loop {
@@ -205,6 +213,28 @@
         Some(stored)
     }
 
+    /// Stores the plan of an earlier era anew, with the groups that run now.
+    async fn recover(&self, catalog: &Catalog, stored: StoredPlan) -> Option<StoredPlan> {
+        let node = &self.node;
+        let latest = self.latest.borrow().clone();
+        let mut plan = match latest.epoch > stored.plan.epoch {
+            true => latest,
+            false => stored.plan.clone(),
+        };
+        for service in catalog.services().filter(|s| s.engine.is_some()) {
+            let state = node.state.borrow();
+            let views = vm_views(node.now(), &service.name, &state.roster, &state.monitor);
+            plan = recover(&plan, service, &views);
+        }
+        plan.begin_era(stored.era);
+        if plan.epoch == 0 {
+            // Nothing was ever planned.
+            return Some(StoredPlan { plan, ..stored });
+        }
+        warn!(node.log, "plan recovered"; "era" => stored.era, "stored_epoch" => stored.plan.epoch, "epoch" => plan.epoch, "groups" => plan.groups.len(), "before" => stored.plan.groups.len());
+        self.store(stored, plan).await
+    }
+
     /// Returns the planner's next step for one service.
     fn step(&self, catalog: &Catalog, service: &str, plan: &Plan) -> PlannerAction {
         let node = &self.node;
@@ -239,15 +269,22 @@
             .await;
         node.metrics.on_store_call("write", written.is_ok());
         match written {
+            Ok(Answer { era, .. }) if era != stored.era => {
+                // The revision may have been that of another writer's plan.
+                info!(node.log, "plan stored in another era"; "era" => era, "epoch" => plan.epoch);
+                None
+            }
             Ok(Answer {
                 content: object, ..
             }) => {
                 node.state.borrow_mut().contact.on_direct_answer(node.now());
+                *self.latest.borrow_mut() = plan.clone();
                 info!(node.log, "plan stored"; "revision" => object.revision, "epoch" => plan.epoch, "groups" => plan.groups.len(), "before" => stored.plan.groups.len());
                 self.log_difference(&stored.plan, &plan);
                 Some(StoredPlan {
                     plan,
                     revision: Some(object.revision),
+                    era: stored.era,
                     read_at: node.now(),
                 })
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -54,7 +54,7 @@
 pub use pauses::{MAX_PAUSE, Pauses};
 pub use plain::{PlainCandidate, PlainChoice, choose_plain_endpoint};
 pub use plan::{GroupPlan, MemberPlan, Plan};
-pub use planner::{LoadLimits, Planner, PlannerAction, PlannerSettings, VmView, vm_views};
+pub use planner::{LoadLimits, Planner, PlannerAction, PlannerSettings, VmView, recover, vm_views};
 pub use quarantine::{
     Aged, Answer, AttemptKey, CrashReport, Loss, Quarantine, QuarantineSettings, Quarantined,
     SharedParts, Subject, Verdict,
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -4,6 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Epochs that are left out when the store returns from a copy: more than are drawn in the
+/// time that a copy may lack.
+const SKIPPED_EPOCHS: u64 = 1_000;
+
 /// A member of a planned group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -65,6 +69,9 @@
 pub struct Plan {
     /// Highest epoch that was drawn.
     pub epoch: u64,
+    /// Era of the store in which it was written; 0 if it isn't known. In a later one it may
+    /// be older than plans that were stored.
+    pub era: u64,
     /// Number of groups that each model should have.
     pub wanted: BTreeMap<String, usize>,
     /// The groups, including those on standby.
@@ -78,6 +85,14 @@
         self.epoch
     }
 
+    /// Begins an era of the store. Epochs that lost plans may have drawn are left out.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        if self.epoch > 0 {
+            self.epoch += SKIPPED_EPOCHS;
+        }
+    }
+
     /// Returns the group that a VM is planned into, not counting standby groups.
     #[must_use]
     pub fn group_of(&self, id: &str) -> Option<&GroupPlan> {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -16,6 +16,7 @@
 mod consolidate;
 mod formation;
 mod free;
+mod recovery;
 mod repair;
 mod standby;
 mod surge;
@@ -34,6 +35,7 @@
 use crate::orders::{Order, OrderAnswer, OrderKind};
 use crate::plan::{GroupPlan, Plan};
 
+pub use recovery::recover;
 pub(crate) use view::Vms;
 pub use view::{VmView, vm_views};
 
