Order an endpoint's records by incarnation and sequence

What callers saw: after a late heartbeat, or after the store's return from a copy, requests went to endpoints that had said that they leave or whose record had been removed; those that they had as they exited were lost. A late record of an earlier lifetime moved the head of an open group.

Cause: each record that arrived counted as the newest, whenever it was written.

Change: a record with a lower incarnation, or the same and a lower sequence, isn't applied, and is logged and counted. Heartbeats that change nothing else aren't announced, so a copy may have a later record than the last one known of a removed endpoint: such an endpoint gets no work and joins no group until it writes, or until ended endpoints have lost their leases (5 s). The grace period after an outage also begins with a new era, if no call failed.

A check of a_late_record_brings_a_leaving_endpoint_back held that a record of an earlier incarnation is applied and gets no work; it now holds that the record isn't applied at all.

--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -56,16 +56,35 @@
     }
 }
 
+/// What a complete list shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListState {
+    /// The present state.
+    Current,
+    /// The first state that this entry sees after the store's return from a copy: that of the
+    /// copy, and what was written since.
+    Restored,
+}
+
 /// Applies a complete list. Endpoints and evacuations that it does not name are removed.
-pub(crate) fn apply_list(node: &Node, kind: ObjectKind, era: u64, objects: Vec<StoredObject>) {
+pub(crate) fn apply_list(
+    node: &Node,
+    kind: ObjectKind,
+    era: u64,
+    list_state: ListState,
+    objects: Vec<StoredObject>,
+) {
     let names: BTreeSet<Name> = objects.iter().map(|o| o.name.as_str().into()).collect();
     match kind {
         ObjectKind::Evacuations => node.state.borrow_mut().roster.set_evacuated(names),
         ObjectKind::Endpoints => {
+            let now = node.now();
+            if list_state == ListState::Restored {
+                node.state.borrow_mut().roster.on_store_restored(now);
+            }
             for object in objects {
-                apply_endpoint(node, &object);
+                apply_endpoint(node, &object, list_state);
             }
-            let now = node.now();
             let gone = node.state.borrow_mut().roster.retain(now, &names);
             for id in gone {
                 forget_endpoint(node, &id);
@@ -89,7 +108,9 @@
 
 pub(crate) fn apply_change(node: &Node, kind: ObjectKind, era: u64, change: Change) {
     match (kind, change) {
-        (ObjectKind::Endpoints, Change::Put(object)) => apply_endpoint(node, &object),
+        (ObjectKind::Endpoints, Change::Put(object)) => {
+            apply_endpoint(node, &object, ListState::Current);
+        }
         (ObjectKind::Endpoints, Change::Removed(id)) => {
             if node.state.borrow_mut().roster.remove(node.now(), &id) {
                 forget_endpoint(node, &id);
@@ -129,7 +150,7 @@
     node.planner_wake.notify_one();
 }
 
-fn apply_endpoint(node: &Node, object: &StoredObject) {
+fn apply_endpoint(node: &Node, object: &StoredObject, list_state: ListState) {
     let decoded = node
         .dialect
         .decode_endpoint(object.name.as_str().into(), &object.body);
@@ -146,29 +167,38 @@
     };
     let id = endpoint.id.clone();
     let phase = endpoint.phase;
-    let incarnation = endpoint.incarnation;
+    let (incarnation, sequence) = (endpoint.incarnation, endpoint.sequence);
     let group = endpoint.membership.as_ref();
     let group = group.map(|m| format!("{}/{} {} {}", m.group, m.epoch, m.rank, m.state));
     let domain = endpoint.domain.clone();
     let cold = endpoint.cold_remaining;
     let ended = node.state.borrow().roster.ended_by(&endpoint);
-    let change = node.state.borrow_mut().roster.put(endpoint);
+    let now = node.now();
+    let change = match list_state {
+        ListState::Current => node.state.borrow_mut().roster.put(endpoint),
+        ListState::Restored => node.state.borrow_mut().roster.put_restored(now, endpoint),
+    };
+    match change {
+        RosterChange::Same => return,
+        RosterChange::Outdated => {
+            node.metrics.on_old_object(ObjectKind::Endpoints);
+            info!(node.log, "endpoint record not newer"; "endpoint" => &*id, "phase" => %phase, "born" => incarnation, "sequence" => sequence, "revision" => object.revision);
+            return;
+        }
+        RosterChange::Added | RosterChange::Restarted | RosterChange::Updated => {}
+    }
     for old in ended {
         node.record_lost(&old, Loss::Ended);
     }
-    if change == RosterChange::Same {
-        return;
-    }
     let cold = cold.max(assumed_cold_time(change, incarnation, unix_millis()));
     if !cold.is_zero() {
-        let now = node.now();
         let mut state = node.state.borrow_mut();
         let phase = state.rng.random();
         let share = state.peers.cold_share(now, name_key(&id));
         let limiter = state.cold.entry(id.clone()).or_default();
         limiter.set_cold(now, now + cold, phase, share);
     }
-    info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => incarnation, "revision" => object.revision, "domain" => &*domain, "group" => group);
+    info!(node.log, "endpoint record"; "endpoint" => &*id, "change" => %change, "phase" => %phase, "born" => incarnation, "sequence" => sequence, "revision" => object.revision, "domain" => &*domain, "group" => group);
     if change == RosterChange::Restarted {
         node.pool.drop_endpoint(&id);
     }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -60,7 +60,8 @@
     }
 }
 
-/// An endpoint's record in the store.
+/// An endpoint's record in the store. Incarnation and sequence order the records of one
+/// endpoint, whichever arrives or is stored last.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
     /// Name of the endpoint's VM.
@@ -68,6 +69,8 @@
     /// Unix time in milliseconds at which this incarnation started. It identifies the
     /// incarnation.
     pub incarnation: u64,
+    /// Number of the record among those of this incarnation.
+    pub sequence: u64,
     /// Service that it belongs to.
     pub service: Name,
     /// Address at which it listens.
@@ -89,3 +92,22 @@
     /// Its membership in a group.
     pub membership: Option<GroupMembership>,
 }
+
+impl Endpoint {
+    /// Returns whether this record was written before another one of the same endpoint.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        (self.incarnation, self.sequence) < (other.incarnation, other.sequence)
+    }
+
+    /// Returns whether both records say the same, at whatever time.
+    #[must_use]
+    pub fn says_same(&self, other: &Self) -> bool {
+        let sequence = other.sequence;
+        *other
+            == Self {
+                sequence,
+                ..self.clone()
+            }
+    }
+}
--- a/crates/fleet/src/leader_choice.rs
+++ b/crates/fleet/src/leader_choice.rs
@@ -291,7 +291,10 @@
         RosterChange::Restarted => ASSUMED_COLD_TIME,
         // To an entry that has just started, every endpoint is new, and most are warm.
         RosterChange::Added if age < MAX_NEW_AGE => ASSUMED_COLD_TIME,
-        RosterChange::Added | RosterChange::Updated | RosterChange::Same => Duration::ZERO,
+        RosterChange::Added
+        | RosterChange::Updated
+        | RosterChange::Same
+        | RosterChange::Outdated => Duration::ZERO,
     }
 }
 
--- a/crates/fleet/src/planner/view.rs
+++ b/crates/fleet/src/planner/view.rs
@@ -101,7 +101,8 @@
 ) -> Vec<VmView<'a>> {
     let own = roster.iter().filter(|e| *e.service == *service);
     let unlisted = roster.unlisted(now).filter(|e| *e.service == *service);
-    let all = own.map(|e| (e, true)).chain(unlisted.map(|e| (e, false)));
+    let own = own.map(|e| (e, !roster.is_doubted(&e.id)));
+    let all = own.chain(unlisted.map(|e| (e, false)));
     let mut views: Vec<VmView<'_>> = all
         .map(|(endpoint, listed)| VmView {
             endpoint,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -3,6 +3,11 @@
 //! Records that expired during an outage of the store are written again shortly after
 //! its return. So a removal that is seen during or just after an outage takes effect
 //! only after a grace period. A removal at any other time takes effect at once.
+//!
+//! Records may arrive late, and a store that returns from a copy has old ones. An older
+//! record says nothing. A record that was removed and is in the copy again may be that of an
+//! endpoint that has left: it counts once its endpoint writes, or once it has outlived the
+//! lease of an endpoint that doesn't. See `docs/decisions/0017-eras-of-the-store.md`.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -17,6 +22,10 @@
 /// Time after the store's return within which endpoints renew expired records.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time after the store's return from a copy within which the records of ended endpoints
+/// expire there.
+const RESTORED_LEASE: Duration = Duration::from_secs(5);
+
 /// Time for which an endpoint without a record may go on as a member of its group.
 const UNLISTED_TTL: Duration = Duration::from_secs(30);
 
@@ -36,6 +45,8 @@
     Updated,
     /// The record is the same.
     Same,
+    /// A newer record is known.
+    Outdated,
 }
 
 /// Number of members by fabric domain.
@@ -123,6 +134,8 @@
     endpoints: HashMap<Name, Endpoint>,
     /// When the removals were seen that haven't taken effect yet.
     removals: HashMap<Name, Time>,
+    /// Endpoints that were removed and are in a copy again, and until when they may have left.
+    doubted: HashMap<Name, Time>,
     /// Endpoints whose record was removed, and when. One that is only cut off from the
     /// store goes on as a member of its group.
     unlisted: HashMap<Name, (Endpoint, Time)>,
@@ -136,8 +149,34 @@
 }
 
 impl Roster {
-    /// Adds or replaces an endpoint's record.
+    /// Adds an endpoint's record of the copy from which the store has returned.
+    pub fn put_restored(&mut self, now: Time, endpoint: Endpoint) -> RosterChange {
+        let id = endpoint.id.clone();
+        let removed = self.unlisted.contains_key(&id) || self.removals.contains_key(&id);
+        let known = self.get_or_unlisted(&id);
+        let known = known.filter(|k| removed && k.incarnation == endpoint.incarnation);
+        let Some(known) = known.cloned() else {
+            return self.put(endpoint);
+        };
+        let latest = match endpoint.is_older_than(&known) {
+            true => known,
+            false => endpoint,
+        };
+        let change = self.put(latest);
+        self.doubted.insert(id, now + RESTORED_LEASE);
+        change
+    }
+
+    /// Adds or replaces an endpoint's record, unless a newer one is known.
     pub fn put(&mut self, mut endpoint: Endpoint) -> RosterChange {
+        if let Some(known) = self.get_or_unlisted(&endpoint.id) {
+            if endpoint.is_older_than(known) {
+                return RosterChange::Outdated;
+            }
+            if known.is_older_than(&endpoint) {
+                self.doubted.remove(&endpoint.id);
+            }
+        }
         if self.is_leaving(&endpoint.id, endpoint.incarnation) {
             endpoint.phase = EndpointPhase::Draining;
         }
@@ -154,7 +193,7 @@
         let new = &self.endpoints[&old.id];
         if new.incarnation != old.incarnation {
             RosterChange::Restarted
-        } else if *new == old {
+        } else if new.says_same(&old) {
             RosterChange::Same
         } else {
             RosterChange::Updated
@@ -232,6 +271,7 @@
     fn unlist(&mut self, now: Time, id: &str) {
         self.unlisted
             .retain(|_, (_, since)| now.since(*since) < UNLISTED_TTL);
+        self.doubted.remove(id);
         if let Some((name, endpoint)) = self.endpoints.remove_entry(id) {
             self.index.remove(&endpoint);
             self.unlisted.insert(name, (endpoint, now));
@@ -263,9 +303,17 @@
         }
     }
 
+    /// Records that the store has returned from a copy. Its records are as incomplete as
+    /// after an outage, also if no call has failed.
+    pub fn on_store_restored(&mut self, now: Time) {
+        self.store_lost = false;
+        self.store_back = Some(now);
+    }
+
     /// Applies the delayed removals once the grace period is over. Returns the removed
     /// endpoints.
     pub fn apply_removals(&mut self, now: Time) -> Vec<Name> {
+        self.doubted.retain(|_, until| now < *until);
         if self.is_incomplete(now) || self.removals.is_empty() {
             return Vec::new();
         }
@@ -322,6 +370,13 @@
         endpoint.phase == EndpointPhase::Ready
             && !self.is_evacuated(&endpoint.data_centre)
             && !self.removals.contains_key(&endpoint.id)
+            && !self.is_doubted(&endpoint.id)
+    }
+
+    /// Returns whether an endpoint may have left although the store has its record.
+    #[must_use]
+    pub fn is_doubted(&self, id: &str) -> bool {
+        self.doubted.contains_key(id)
     }
 
     /// Returns the last records of the endpoints whose record was removed recently.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use bulrushhoist_fleet::{Endpoint, GroupState, Name, Roster, RosterChange};
+use bulrushhoist_fleet::{Endpoint, EndpointPhase, GroupState, Name, Roster, RosterChange};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, prop_assert, prop_oneof, proptest};
 use support::{endpoint, member, ms};
@@ -104,8 +104,9 @@
     assert!(!accepts(&roster), "removed and written again");
     roster.put(record(6));
     assert!(accepts(&roster), "the next incarnation starts anew");
-    roster.put(record(5));
-    assert!(!accepts(&roster), "a record of the one before");
+    assert_eq!(roster.put(record(5)), RosterChange::Outdated);
+    let known = roster.get("vm-1").map(|e| e.incarnation);
+    assert_eq!(known, Some(6), "a record of the one before");
     assert!(
         !roster.set_leaving(&id, 4),
         "a late notice of an earlier one"
@@ -178,6 +179,67 @@
     }
 }
 
+fn written(sequence: u64, phase: EndpointPhase) -> Endpoint {
+    Endpoint {
+        sequence,
+        phase,
+        ..endpoint("vm-1", "d1")
+    }
+}
+
+/// Guards against a record that was written before the last one and arrives after it, or is
+/// in a copy of the store: a draining endpoint would get work again.
+#[test]
+fn an_older_record_brings_a_draining_endpoint_back() {
+    let mut roster = Roster::default();
+    roster.on_store_back(ms(0));
+    roster.put(written(5, EndpointPhase::Ready));
+    roster.put(written(8, EndpointPhase::Draining));
+    let late = written(6, EndpointPhase::Ready);
+    assert_eq!(roster.put(late.clone()), RosterChange::Outdated);
+    assert_eq!(
+        roster.put_restored(ms(9_000), late.clone()),
+        RosterChange::Outdated
+    );
+    assert_eq!(roster.of_service("engines").count(), 0);
+    assert!(roster.remove(ms(10_000), "vm-1"));
+    assert_eq!(roster.put(late), RosterChange::Outdated);
+    assert!(roster.get("vm-1").is_none());
+    assert_eq!(
+        roster.put(written(9, EndpointPhase::Ready)),
+        RosterChange::Added
+    );
+}
+
+/// Guards against work for an endpoint that has left without a notice and is in the copy
+/// again, and against one that is never used again although it lives.
+#[test]
+fn a_record_of_the_copy_brings_a_removed_endpoint_back() {
+    let mut roster = Roster::default();
+    roster.on_store_back(ms(0));
+    roster.put(written(5, EndpointPhase::Ready));
+    assert!(roster.remove(ms(10_000), "vm-1"));
+    roster.on_store_restored(ms(12_000));
+    // Heartbeats that change nothing else are not announced, so the copy may have a later one.
+    roster.put_restored(ms(12_000), written(9, EndpointPhase::Ready));
+    assert_eq!(roster.of_service("engines").count(), 0);
+    roster.put(written(9, EndpointPhase::Ready));
+    roster.apply_removals(ms(14_500));
+    assert_eq!(roster.of_service("engines").count(), 0);
+    roster.put(written(10, EndpointPhase::Ready));
+    assert_eq!(roster.of_service("engines").count(), 1, "it has written");
+    assert!(roster.remove(ms(20_000), "vm-1"));
+    roster.put_restored(ms(21_000), written(10, EndpointPhase::Ready));
+    roster.apply_removals(ms(25_900));
+    assert_eq!(roster.of_service("engines").count(), 0);
+    roster.apply_removals(ms(26_000));
+    assert_eq!(
+        roster.of_service("engines").count(),
+        1,
+        "its lease was renewed"
+    );
+}
+
 #[test]
 fn a_successor_at_an_address_ends_no_run() {
     // Guards against a run whose end stays unknown because its successor has another name, or
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -60,6 +60,7 @@
     Endpoint {
         id: id.into(),
         incarnation: 1,
+        sequence: 0,
         service: "engines".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-a".into(),
