Keep data centres out of service as the store returns from a copy

What callers saw: requests went to endpoints of a data centre that operators had taken out of service (EVAC, at most until the operators wrote it again).

Cause: the list of a restored store was taken for the present. It lacks an evacuation that began after the copy, and has one that has ended.

Change: what is in force stays for the grace period after a return; a change in it counts at once, and then what the store has is applied.

--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
     ASSUMED_COLD_TIME, EntryInfo, Loss, Name, RosterChange, assumed_cold_time, name_key,
 };
@@ -76,7 +77,13 @@
 ) {
     let names: BTreeSet<Name> = objects.iter().map(|o| o.name.as_str().into()).collect();
     match kind {
-        ObjectKind::Evacuations => node.state.borrow_mut().roster.set_evacuated(names),
+        ObjectKind::Evacuations => {
+            let roster = &mut node.state.borrow_mut().roster;
+            match list_state {
+                ListState::Current => roster.set_evacuated(names),
+                ListState::Restored => roster.restore_evacuated(node.now(), names),
+            }
+        }
         ObjectKind::Endpoints => {
             let now = node.now();
             if list_state == ListState::Restored {
@@ -130,6 +137,15 @@
     }
 }
 
+/// Applies what a restored store has of data centres out of service, once the operators have
+/// written again.
+pub(crate) fn settle_evacuated(node: &Node, now: Time) {
+    let changed = node.state.borrow_mut().roster.settle_evacuated(now);
+    for (name, evacuated) in changed {
+        set_evacuated(node, &name, evacuated);
+    }
+}
+
 fn set_evacuated(node: &Node, name: &str, evacuated: bool) {
     let now = node.now();
     let answered_at = node.relay.answered_at(ObjectKind::Evacuations);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -187,6 +187,7 @@
             paused = count;
             node.metrics.set_paused(count);
         }
+        records::settle_evacuated(&node, now);
         let gone = node.state.borrow_mut().roster.apply_removals(now);
         for id in gone {
             info!(node.log, "endpoint gone after the store's return"; "endpoint" => &*id);
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -140,6 +140,9 @@
     /// store goes on as a member of its group.
     unlisted: HashMap<Name, (Endpoint, Time)>,
     evacuated: BTreeSet<Name>,
+    /// Data centres that are out of service in a restored store, which take effect after the
+    /// grace period.
+    restored_evacuated: Option<BTreeSet<Name>>,
     /// Newest incarnation of each endpoint that has said that it leaves.
     leaving: HashMap<Name, u64>,
     index: Index,
@@ -335,11 +338,40 @@
 
     /// Sets the data centres that are out of service.
     pub fn set_evacuated(&mut self, data_centres: BTreeSet<Name>) {
+        self.restored_evacuated = None;
         self.evacuated = data_centres;
     }
 
+    /// Records which data centres are out of service in a store that has returned from a
+    /// copy. The operators write again what they have changed since the copy.
+    pub fn restore_evacuated(&mut self, now: Time, data_centres: BTreeSet<Name>) {
+        self.on_store_restored(now);
+        self.restored_evacuated = Some(data_centres);
+    }
+
+    /// Returns the data centres whose service differs from what the restored store has, once
+    /// the grace period is over, with whether they are out of service there.
+    pub fn settle_evacuated(&mut self, now: Time) -> SmallVec<[(Name, bool); 2]> {
+        if self.is_incomplete(now) {
+            return SmallVec::new();
+        }
+        let Some(stored) = self.restored_evacuated.take() else {
+            return SmallVec::new();
+        };
+        let changed = self.evacuated.symmetric_difference(&stored);
+        changed
+            .map(|name| (name.clone(), stored.contains(name)))
+            .collect()
+    }
+
     /// Takes one data centre out of service, or back into service if `out` is false.
     pub fn evacuate(&mut self, data_centre: Name, out: bool) {
+        if let Some(stored) = &mut self.restored_evacuated {
+            match out {
+                true => stored.insert(data_centre.clone()),
+                false => stored.remove(&data_centre),
+            };
+        }
         if out {
             self.evacuated.insert(data_centre);
         } else {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -63,6 +63,30 @@
     assert_eq!(roster.of_service("engines").count(), 2);
 }
 
+/// Guards against a data centre that goes back into service, or out of it, as the copy of a
+/// restored store has it.
+#[test]
+fn a_copy_changes_which_data_centre_is_out_of_service() {
+    for out in [true, false] {
+        let mut roster = roster();
+        roster.evacuate("dc-a".into(), out);
+        let copy: BTreeSet<Name> = match out {
+            true => BTreeSet::new(),
+            false => ["dc-a".into()].into(),
+        };
+        roster.restore_evacuated(ms(9_000), copy.clone());
+        assert!(roster.settle_evacuated(ms(11_000)).is_empty());
+        assert_eq!(roster.is_evacuated("dc-a"), out);
+        let changed = roster.settle_evacuated(ms(11_300));
+        assert_eq!(changed[..], [("dc-a".into(), !out)]);
+        // The operators write it again.
+        roster.restore_evacuated(ms(20_000), copy);
+        roster.evacuate("dc-a".into(), out);
+        assert!(roster.settle_evacuated(ms(23_000)).is_empty());
+        assert_eq!(roster.is_evacuated("dc-a"), out);
+    }
+}
+
 #[test]
 fn spans_domains_follows_the_members_records() {
     // A cross-domain group is slower than published. If it isn't recognised, its leader gets
