Register an entry again when the restored store lacks its record

What callers saw: nothing yet; an entry that started after the store's return from a copy did not know the entries whose records the copy lacked, named only some of them to callers, and shared no loads with them.

Cause: an entry writes its record once, at its start, and a return from a copy may take it away.

Evidence: a test whose copy has no such record: a restarted entry names fewer than three entries for 20 s.

Change: an entry that sees a restored store without its record writes it again.

The test failed before: 'the restarted entry names all entries: not within 20s'.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -52,6 +52,8 @@
     pub(crate) body_memory: BodyMemory,
     /// Wakes the planner when something changed that may call for orders.
     pub(crate) planner_wake: Notify,
+    /// Wakes the registration when the store has lost this entry's record.
+    pub(crate) unregistered: Notify,
     /// Wakes the calls that wait when something is quarantined.
     pub(crate) quarantine_changed: Notify,
     /// When an object of the store that can't be used was last logged.
@@ -93,6 +95,7 @@
             relay: Relay::default(),
             body_memory,
             planner_wake: Notify::new(),
+            unregistered: Notify::new(),
             quarantine_changed: Notify::new(),
             odd_object_logged: Cell::new(None),
             bad_notice_logged: Cell::new(None),
--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -76,6 +76,7 @@
     objects: Vec<StoredObject>,
 ) {
     let names: BTreeSet<Name> = objects.iter().map(|o| o.name.as_str().into()).collect();
+    let has_own = names.contains(&node.settings.node);
     match kind {
         ObjectKind::Evacuations => {
             let roster = &mut node.state.borrow_mut().roster;
@@ -106,6 +107,9 @@
         }
     }
     if kind == ObjectKind::Entries {
+        if list_state == ListState::Restored && !has_own {
+            node.unregistered.notify_one();
+        }
         let now = node.now();
         let mut state = node.state.borrow_mut();
         state.peers.refresh(now);
@@ -287,8 +291,16 @@
     }
 }
 
+/// Registers this entry, and again when the store has lost its record.
+pub(crate) async fn keep_registered(node: Rc<Node>) {
+    loop {
+        register(&node).await;
+        node.unregistered.notified().await;
+    }
+}
+
 /// Registers this entry in the store, and retries until it succeeds.
-pub(crate) async fn register(node: Rc<Node>) {
+async fn register(node: &Node) {
     let settings = &node.settings;
     let record = EntryRecord {
         peers: settings.listen.peers,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -112,7 +112,7 @@
     for kind in ObjectKind::FOLLOWED {
         spawn_local(sync::follow(node.clone(), kind));
     }
-    spawn_local(records::register(node.clone()));
+    spawn_local(records::keep_registered(node.clone()));
     spawn_local(peers::publish_periodically(node.clone(), socket.clone()));
     spawn_local(peers::listen(node.clone(), socket.clone()));
     spawn_local(groups::plan_groups(node.clone()));
