Log and count that an entry has no way to any endpoint

Callers of an entry that had lost its path to all endpoints were refused, and its log showed one suspected endpoint after the other. Failures at four endpoints within 2 s, with no success between them, now count as the loss of the entry's own path (crates/fleet/src/endpoint_contact.rs): requests without an answer, and connections that can't be opened, each disproved by its own kind of success, since old connections may live on while new ones are refused. Until a probe on a new connection is answered, the entry probes an endpoint each 300 ms. No decision uses it yet.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::{Fingerprint, Time};
-use bulrushhoist_fleet::{AttemptKey, Endpoint};
+use bulrushhoist_fleet::{AttemptKey, ContactFailure, Endpoint};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -224,6 +224,9 @@
         let connection = node.pool.take(node.now(), endpoint, reuse).await;
         let mut connection =
             connection.map_err(|e| on_connection_error(node, call, in_flight, &e))?;
+        if connection.is_new {
+            node.state.borrow_mut().endpoint_contact.on_connected();
+        }
         // While the connection was opened, the endpoint may have said that it leaves, pauses
         // or has a limit.
         if !node.may_send(in_flight) {
@@ -244,6 +247,7 @@
         let response = match sent {
             Err(WaitError::TimedOut) => return Err(AttemptError::TimedOut),
             Err(WaitError::Stalled) => {
+                node.on_contact_failure(&endpoint.id, ContactFailure::Unanswered);
                 node.suspect(
                     &endpoint.id,
                     endpoint.incarnation,
@@ -261,6 +265,7 @@
             Ok(Err(error)) => return Err(on_connection_error(node, call, in_flight, &error)),
             Ok(Ok(response)) => response,
         };
+        node.state.borrow_mut().endpoint_contact.on_answer();
         apply_keep_alive(node, &mut connection, response.headers());
         // Another endpoint that has the address now speaks of itself.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
@@ -283,6 +288,11 @@
 ) -> AttemptError {
     let endpoint = &in_flight.endpoint;
     let cause = error.to_string();
+    let failure = match error {
+        ConnectionError::Connect(_) => ContactFailure::Unconnected,
+        _ => ContactFailure::Unanswered,
+    };
+    node.on_contact_failure(&endpoint.id, failure);
     if error.is_unsent() {
         node.pool.drop_endpoint(&endpoint.id);
         node.suspect(&endpoint.id, endpoint.incarnation, &cause);
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Driver,
+    /// Whether it has carried no request yet.
+    pub(crate) is_new: bool,
     /// When it last carried a request.
     pub(crate) used: Time,
     /// When it must no longer be reused, if the other end has announced an idle timeout.
@@ -95,6 +97,7 @@
         Ok(Self {
             sender,
             _driver: Driver(task),
+            is_new: true,
             used: now,
             expires: None,
         })
--- /dev/null
+++ b/crates/entry/src/endpoint_contact.rs
@@ -0,0 +1,63 @@
+//! Notices when this entry loses its way to the endpoints, and finds it again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bulrushhoist_fleet::{ContactFailure, Endpoint, Name};
+use rand::seq::IteratorRandom as _;
+use slog::{info, warn};
+
+use crate::control::ControlConnections;
+use crate::node::Node;
+
+/// Interval at which an entry that is cut off probes an endpoint.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+impl Node {
+    /// Records a request to an endpoint that got no connection or no answer.
+    pub(crate) fn on_contact_failure(&self, endpoint: &Name, failure: ContactFailure) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let known = state.roster.iter().count();
+        let contact = &mut state.endpoint_contact;
+        if contact.on_failure(now, endpoint, failure, known) {
+            drop(state);
+            warn!(self.log, "endpoints not reached"; "last" => &**endpoint, "failure" => %failure);
+            self.metrics.set_cut_off(true);
+            self.cut_off.notify_one();
+        }
+    }
+
+    /// Returns whether this entry has no way to the endpoints.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.state.borrow().endpoint_contact.is_cut_off()
+    }
+}
+
+/// Probes endpoints while this entry is cut off, until one of them answers.
+pub(crate) async fn find_endpoints(node: Rc<Node>) {
+    loop {
+        node.cut_off.notified().await;
+        let since = node.now();
+        while node.is_cut_off() {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            let Some(endpoint) = any_endpoint(&node) else {
+                continue;
+            };
+            // A connection from before the cut may live on, so each probe has its own.
+            let connections = ControlConnections::default();
+            if connections.probe(&node, &endpoint).await.is_some() {
+                node.state.borrow_mut().endpoint_contact.on_reached();
+                let took = node.now().since(since).as_millis() as u64;
+                info!(node.log, "endpoints reached again"; "endpoint" => &*endpoint.id, "after_ms" => took);
+                node.metrics.set_cut_off(false);
+            }
+        }
+    }
+}
+
+fn any_endpoint(node: &Node) -> Option<Endpoint> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    state.roster.iter().choose(&mut state.rng).cloned()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod demand;
 mod dialect;
 mod directory;
+mod endpoint_contact;
 mod events;
 mod fitness;
 mod groups;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -59,6 +59,7 @@
     limited: Gauge<u64>,
     version: Gauge<u64>,
     store_era: Gauge<u64>,
+    cut_off: Gauge<u64>,
     old_objects: Counter<u64>,
     copy_age: Gauge<f64>,
     demand: Gauge<f64>,
@@ -182,6 +183,10 @@
                 .u64_gauge("bulrushhoist_configuration_version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            cut_off: meter
+                .u64_gauge("bulrushhoist_cut_off")
+                .with_description("1 while this entry has no way to the endpoints")
+                .build(),
             store_era: meter
                 .u64_gauge("bulrushhoist_store_era")
                 .with_description("Era of the store, which rises when it returns from a copy")
@@ -325,6 +330,10 @@
         self.version.record(version, &[]);
     }
 
+    pub(crate) fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.record(cut_off.into(), &[]);
+    }
+
     pub(crate) fn set_store_era(&self, era: u64) {
         self.store_era.record(era, &[]);
     }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Endpoint, Name, PlainChoice};
+use bulrushhoist_fleet::{ContactFailure, Endpoint, Name, PlainChoice};
 use bytes::Bytes;
 use hyper::http::response::Parts;
 use smallvec::SmallVec;
@@ -135,6 +135,7 @@
     let answer = tokio::time::timeout_at(limit, answered).await;
     match answer {
         Err(_) => {
+            node.on_contact_failure(&endpoint.id, ContactFailure::Unanswered);
             node.suspect(&endpoint.id, endpoint.incarnation, "no answer in time");
             Err(AttemptError::TimedOut)
         }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -81,6 +81,7 @@
             return;
         }
         connection.used = now;
+        connection.is_new = false;
         let mut all = self.idle.borrow_mut();
         let idle = all.entry(endpoint.id.clone()).or_default();
         if idle.incarnation != endpoint.incarnation {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,7 +18,7 @@
 use crate::settings::ReadSettings;
 use crate::start::{self, Sockets};
 use crate::state::Phase;
-use crate::{groups, records, sync};
+use crate::{endpoint_contact, groups, records, sync};
 
 /// Interval at which the queues and idle connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -116,6 +116,7 @@
     spawn_local(peers::publish_periodically(node.clone(), socket.clone()));
     spawn_local(peers::listen(node.clone(), socket.clone()));
     spawn_local(groups::plan_groups(node.clone()));
+    spawn_local(endpoint_contact::find_endpoints(node.clone()));
     spawn_local(sweep(node.clone()));
     loop {
         tokio::select! {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,9 +9,9 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Allowance, Batch, Catalog, ColdLimiter, Departure, Endpoint, Engine, Health, HealthMonitor,
-    HealthSettings, LeaderFitness, MAX_PAUSE, Membership, Name, NamedLimits, Pauses, Quarantine,
-    QuarantineSettings, RequestTimes, Roster, SendsByUse, SharedRetryBudget,
+    Allowance, Batch, Catalog, ColdLimiter, Departure, Endpoint, EndpointContact, Engine, Health,
+    HealthMonitor, HealthSettings, LeaderFitness, MAX_PAUSE, Membership, Name, NamedLimits, Pauses,
+    Quarantine, QuarantineSettings, RequestTimes, Roster, SendsByUse, SharedRetryBudget,
     SharedRetryBudgetSettings as RetryBounds, StoreContact, Work, max_event_gap, name_key,
 };
 use rand::rngs::SmallRng;
@@ -136,6 +136,8 @@
     /// Leaders that are excluded because they rejected requests.
     pub(crate) fitness: LeaderFitness,
     pub(crate) contact: StoreContact,
+    /// Whether this entry has a way to the endpoints.
+    pub(crate) endpoint_contact: EndpointContact,
     /// Whether any entry has had a request yet.
     pub(crate) traffic_seen: bool,
     /// Whether this entry is the one that plans groups.
@@ -169,6 +171,7 @@
             limits: NamedLimits::default(),
             fitness: LeaderFitness::default(),
             contact: StoreContact::default(),
+            endpoint_contact: EndpointContact::default(),
             traffic_seen: false,
             planning: false,
             last_queue_id: 0,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_fleet::{Endpoint, LeaderChoice, Name, SlotLimit};
+use bulrushhoist_fleet::{ContactFailure, Endpoint, LeaderChoice, Name, SlotLimit};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
@@ -325,10 +325,12 @@
     let endpoint = &in_flight.endpoint;
     match failed {
         AttemptError::MayHaveRun(RetryCause::Broken) => {
+            node.on_contact_failure(&endpoint.id, ContactFailure::Unanswered);
             node.on_disconnect(&endpoint.id, endpoint.incarnation, "streams broke");
             node.record_broken(call, in_flight);
         }
         AttemptError::MayHaveRun(RetryCause::Silent) => {
+            node.on_contact_failure(&endpoint.id, ContactFailure::Unanswered);
             node.suspect(&endpoint.id, endpoint.incarnation, "stream stalled");
         }
         _ => {}
@@ -355,6 +357,7 @@
                 return Err(AttemptError::MayHaveRun(RetryCause::Silent));
             }
             Err(WaitError::Stalled) => {
+                node.on_contact_failure(&endpoint.id, ContactFailure::Unanswered);
                 node.suspect(
                     &endpoint.id,
                     endpoint.incarnation,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod directory;
 mod endpoint;
+mod endpoint_contact;
 mod fitness;
 mod health;
 mod latency;
@@ -38,6 +39,7 @@
 pub use demand::Demand;
 pub use directory::{DirectoryEntry, draw_addresses};
 pub use endpoint::{Endpoint, EndpointPhase, GroupMembership, GroupState};
+pub use endpoint_contact::{ContactFailure, EndpointContact};
 pub use fitness::{LeaderFitness, Rejection, quiet_time, unbegun_stall_timeout};
 pub use health::{Health, HealthMonitor, HealthSettings};
 pub use leader_choice::{
