Stop planning on an entry that has no way to the endpoints

What callers saw: while some entries were cut off from all endpoints, callers of the others were refused, too, and for seconds after the cut.

Cause: the entry that planned was cut off, took each VM that it couldn't reach for lost, and gave up groups that served; the plan went to the store, the orders went nowhere. Its suspicions went to the other entries. Endpoints that had refused its connections counted as ended on it for good.

Change: an entry without a way to the endpoints isn't eligible to plan and reports no suspicions. When it reaches them again, it forgets the failures.

--- a/crates/entry/src/endpoint_contact.rs
+++ b/crates/entry/src/endpoint_contact.rs
@@ -47,7 +47,12 @@
             // A connection from before the cut may live on, so each probe has its own.
             let connections = ControlConnections::default();
             if connections.probe(&node, &endpoint).await.is_some() {
-                node.state.borrow_mut().endpoint_contact.on_reached();
+                let mut state = node.state.borrow_mut();
+                state.endpoint_contact.on_reached();
+                // What failed in the meantime says nothing of the endpoints.
+                state.monitor.forget_failures();
+                state.suspicions.clear();
+                drop(state);
                 let took = node.now().since(since).as_millis() as u64;
                 info!(node.log, "endpoints reached again"; "endpoint" => &*endpoint.id, "after_ms" => took);
                 node.metrics.set_cut_off(false);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -273,10 +273,14 @@
         stream.is_some_and(|stream| stream.waker.send(()).is_ok())
     }
 
-    /// Returns the suspicions to report to the other entries.
+    /// Returns the suspicions to report to the other entries. Those of an entry that has
+    /// lost its way to the endpoints say nothing of these.
     pub(crate) fn recent_suspicions(&self) -> Vec<Suspicion> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        if state.endpoint_contact.is_cut_off() {
+            return Vec::new();
+        }
         state
             .suspicions
             .retain(|_, s| now.since(s.at) < SUSPICION_REPORT_TIME);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -121,7 +121,7 @@
     EntryStatus {
         key: name_key(&node.settings.node),
         ready,
-        synced: state.is_synced(now),
+        synced: state.is_synced(now) && !state.endpoint_contact.is_cut_off(),
         planning: state.planning,
         reaches_store: state.contact.reaches_store(now),
     }
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -217,6 +217,17 @@
         Health::Alive
     }
 
+    /// Discards the failures of all endpoints: this entry had no way to them.
+    pub fn forget_failures(&mut self) {
+        for observations in self.endpoints.values_mut() {
+            *observations = Observations {
+                incarnation: observations.incarnation,
+                slowdown: observations.slowdown,
+                ..Observations::default()
+            };
+        }
+    }
+
     /// Discards the observations of an endpoint that is no longer in the roster.
     pub fn forget(&mut self, id: &str) {
         self.endpoints.remove(id);
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -37,7 +37,7 @@
     pub key: u32,
     /// Whether it accepts callers.
     pub ready: bool,
-    /// Whether the store itself answers it, and its copy is complete.
+    /// Whether the store itself answers it, its copy is complete, and it reaches endpoints.
     pub synced: bool,
     /// Whether it plans groups.
     pub planning: bool,
