Serve the callers of an entry without endpoints through its peers

What callers saw: at an entry that had lost its path to all endpoints, two of one hundred first attempts were served, against 96 of 100 at the others; all that they got were refusals, and the directories of all entries still named it.

Cause: a request could only go from the entry that took it to an endpoint, and no part of the system knew that an entry has no way there.

Change: the status of an entry says that it is cut off; directories leave it out, and it sends the requests that still come to a peer (docs/decisions/0018-requests-through-peers.md). With few requests four failures take long, so after two of them it probes others; the planner's probes count, too.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::backlog::BacklogReader;
+use crate::connection::Connection;
 
 /// Longest time for which the rest of a refused request is read.
 const DISCARD_TIME: Duration = Duration::from_secs(3);
@@ -48,12 +49,29 @@
     }
 }
 
+/// The body of a peer's answer, with the connection that brings it.
+pub(crate) struct Forwarded {
+    body: Incoming,
+    _connection: Connection,
+}
+
+impl Forwarded {
+    pub(crate) const fn new(body: Incoming, connection: Connection) -> Self {
+        Self {
+            body,
+            _connection: connection,
+        }
+    }
+}
+
 /// The body of an answer to a caller: known in full, or streamed.
 pub(crate) enum AnswerBody {
     /// The complete body, until it has been sent.
     Complete(Option<Bytes>),
     /// Chunks, followed by the end of the body or by [`Truncated`].
     Chunks(BacklogReader),
+    /// The body that a peer sends, or [`Truncated`] if it breaks off.
+    Forwarded(Forwarded),
 }
 
 impl AnswerBody {
@@ -77,11 +95,20 @@
                 let chunk = next?;
                 Some(chunk.map(Frame::data).map_err(|_| Truncated))
             }),
+            Self::Forwarded(answer) => {
+                let body = Pin::new(&mut answer.body);
+                let frame = body.poll_frame(cx);
+                frame.map(|next| next.map(|frame| frame.map_err(|_| Truncated)))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None))
+        match self {
+            Self::Complete(bytes) => bytes.is_none(),
+            Self::Chunks(_) => false,
+            Self::Forwarded(answer) => answer.body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -91,6 +118,7 @@
                 SizeHint::with_exact(length as u64)
             }
             Self::Chunks(_) => SizeHint::default(),
+            Self::Forwarded(answer) => answer.body.size_hint(),
         }
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -37,6 +37,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Name,
     pub(crate) team: Option<Name>,
+    /// What its caller sent as `Authorization`.
+    pub(crate) key: Option<HeaderValue>,
     /// Priority; 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) model: Option<Name>,
@@ -113,6 +115,7 @@
         deadline,
         service: routing.service.clone(),
         team: routing.team,
+        key: parts.headers.get(AUTHORIZATION).cloned(),
         priority: routing.priority,
         model: text(&parts.headers, &names.model).map(Name::from),
         work: estimate_work(node, &parts.headers),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::{Endpoint, Order, OrderAnswer};
+use bulrushhoist_fleet::{ContactFailure, Endpoint, Order, OrderAnswer};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -69,6 +69,9 @@
         let now = node.now();
         let mut state = node.state.borrow_mut();
         node.metrics.on_probe(fetched.is_ok());
+        if fetched.is_ok() {
+            state.endpoint_contact.on_answer();
+        }
         match fetched {
             Ok((StatusCode::OK, body)) => match node.dialect.decode_report(&body) {
                 Ok(report)
@@ -120,6 +123,11 @@
                         .on_probe_timeout(now, &endpoint.id, endpoint.incarnation);
                 }
                 drop(state);
+                let failure = match &error {
+                    ConnectionError::Connect(_) => ContactFailure::Unconnected,
+                    _ => ContactFailure::Unanswered,
+                };
+                node.on_contact_failure(&endpoint.id, failure);
                 node.record_if_dead(endpoint);
                 self.0.drop_endpoint(&endpoint.id);
                 info!(node.log, "endpoint not reached"; "endpoint" => &*endpoint.id, "born" => endpoint.incarnation, "cause" => %error);
--- a/crates/entry/src/endpoint_contact.rs
+++ b/crates/entry/src/endpoint_contact.rs
@@ -10,6 +10,8 @@
 use crate::control::ControlConnections;
 use crate::node::Node;
 
+/// Pause between two probes while it is in doubt whether this entry is cut off.
+const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which an entry that is cut off probes an endpoint.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -20,11 +22,15 @@
         let mut state = self.state.borrow_mut();
         let known = state.roster.iter().count();
         let contact = &mut state.endpoint_contact;
-        if contact.on_failure(now, endpoint, failure, known) {
+        let begins = contact.on_failure(now, endpoint, failure, known);
+        if contact.is_doubted() {
+            self.contact_changed.notify_one();
+        }
+        if begins {
             drop(state);
             warn!(self.log, "endpoints not reached"; "last" => &**endpoint, "failure" => %failure);
             self.metrics.set_cut_off(true);
-            self.cut_off.notify_one();
+            self.contact_changed.notify_one();
         }
     }
 
@@ -34,19 +40,20 @@
     }
 }
 
-/// Probes endpoints while this entry is cut off, until one of them answers.
+/// Probes endpoints while it is in doubt whether this entry reaches them, and while it doesn't.
 pub(crate) async fn find_endpoints(node: Rc<Node>) {
     loop {
-        node.cut_off.notified().await;
+        node.contact_changed.notified().await;
+        while node.state.borrow().endpoint_contact.is_doubted() {
+            match probe_any(&node).await {
+                Some(_) => node.state.borrow_mut().endpoint_contact.on_reached(),
+                None => tokio::time::sleep(DOUBT_PROBE_INTERVAL).await,
+            }
+        }
         let since = node.now();
         while node.is_cut_off() {
             tokio::time::sleep(PROBE_INTERVAL).await;
-            let Some(endpoint) = any_endpoint(&node) else {
-                continue;
-            };
-            // A connection from before the cut may live on, so each probe has its own.
-            let connections = ControlConnections::default();
-            if connections.probe(&node, &endpoint).await.is_some() {
+            if let Some(endpoint) = probe_any(&node).await {
                 let mut state = node.state.borrow_mut();
                 state.endpoint_contact.on_reached();
                 // What failed in the meantime says nothing of the endpoints.
@@ -61,6 +68,15 @@
     }
 }
 
+/// Probes a random endpoint, and returns it if it answers.
+async fn probe_any(node: &Node) -> Option<Endpoint> {
+    let endpoint = any_endpoint(node)?;
+    // A connection from before the cut may live on, so each probe has its own.
+    let connections = ControlConnections::default();
+    let answered = connections.probe(node, &endpoint).await;
+    answered.map(|_| endpoint)
+}
+
 fn any_endpoint(node: &Node) -> Option<Endpoint> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod endpoint_contact;
 mod events;
 mod fitness;
+mod forward;
 mod groups;
 mod history;
 mod kept;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -61,6 +61,7 @@
     store_era: Gauge<u64>,
     cut_off: Gauge<u64>,
     old_objects: Counter<u64>,
+    forwarded: Counter<u64>,
     copy_age: Gauge<f64>,
     demand: Gauge<f64>,
 }
@@ -143,6 +144,10 @@
                 "bulrushhoist_old_objects",
                 "Objects of the store that were not applied because a newer state is known, by kind",
             ),
+            forwarded: counter(
+                "bulrushhoist_forwarded",
+                "Requests sent to other entries while this one had no way to the endpoints, by result",
+            ),
             bytes: counter(
                 "bulrushhoist_bytes",
                 "Bytes to other entries, and to and from endpoints in other data centres, by cause",
@@ -287,6 +292,10 @@
         self.odd_objects.add(count as u64, &[kind]);
     }
 
+    pub(crate) fn on_forwarded(&self, result: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn on_old_object(&self, kind: ObjectKind) {
         let kind = KeyValue::new("kind", kind.to_string());
         self.old_objects.add(1, &[kind]);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -52,8 +52,8 @@
     pub(crate) body_memory: BodyMemory,
     /// Wakes the planner when something changed that may call for orders.
     pub(crate) planner_wake: Notify,
-    /// Wakes the search for endpoints when this entry has lost its way to them.
-    pub(crate) cut_off: Notify,
+    /// Wakes the search for endpoints when this entry may have lost its way to them.
+    pub(crate) contact_changed: Notify,
     /// Wakes the registration when the store has lost this entry's record.
     pub(crate) unregistered: Notify,
     /// Wakes the calls that wait when something is quarantined.
@@ -97,7 +97,7 @@
             relay: Relay::default(),
             body_memory,
             planner_wake: Notify::new(),
-            cut_off: Notify::new(),
+            contact_changed: Notify::new(),
             unregistered: Notify::new(),
             quarantine_changed: Notify::new(),
             odd_object_logged: Cell::new(None),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -124,6 +124,7 @@
         synced: state.is_synced(now) && !state.endpoint_contact.is_cut_off(),
         planning: state.planning,
         reaches_store: state.contact.reaches_store(now),
+        cut_off: state.endpoint_contact.is_cut_off(),
     }
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::call::{self, Call, strip_hop_by_hop_headers};
 use crate::dialect::LocalCall;
 use crate::directory;
+use crate::forward::{self, RequestSource};
 use crate::metrics::ByteCause;
 use crate::node::Node;
 use crate::outcome::Refusal;
@@ -137,8 +138,11 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match role {
-        ListenerRole::Callers => answer_caller(node, request).await,
+        ListenerRole::Callers => answer_caller(node, request, RequestSource::Caller).await,
         ListenerRole::Local => answer_local(node, &request),
+        ListenerRole::Relay if forward::is_forwarded(request.headers()) => {
+            answer_caller(node, request, RequestSource::Peer).await
+        }
         ListenerRole::Relay => {
             let (status, body) = answer_follower(node, request.uri()).await;
             let mut response = Response::new(AnswerBody::complete(body));
@@ -201,7 +205,11 @@
     }
 }
 
-async fn answer_caller(node: &Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer_caller(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    source: RequestSource,
+) -> Response<AnswerBody> {
     let received = node.now();
     node.state.borrow_mut().traffic_seen = true;
     let id = call::request_id(node, request.headers());
@@ -220,7 +228,7 @@
             }
             refuse(node, &id, received, refusal, None)
         }
-        Ok(call) => run(node, call).await,
+        Ok(call) => run(node, call, source).await,
     };
     // From here on other lines name the request.
     std::mem::forget(pending);
@@ -255,7 +263,7 @@
 }
 
 /// Sends a call to endpoints unless it is quarantined or would outlast a planned stop.
-async fn run(node: &Rc<Node>, call: Call) -> Response<AnswerBody> {
+async fn run(node: &Rc<Node>, call: Call, source: RequestSource) -> Response<AnswerBody> {
     let id = call.id.clone();
     let received = call.received;
     let kind = call.route.kind;
@@ -281,13 +289,14 @@
         return refuse(node, &id, received, refusal, Some(&context));
     }
     let answered = match kind {
-        CallKind::Safe | CallKind::Unsafe => plain::run(node, &call).await.map(|answer| {
-            (
-                answer.parts,
-                AnswerBody::complete(answer.body),
-                answer.endpoint,
-            )
-        }),
+        _ if forward::is_needed(node, &call, source) => forward::run(node, &call).await,
+        CallKind::Safe | CallKind::Unsafe => match plain::run(node, &call).await {
+            Ok(answer) => {
+                let body = AnswerBody::complete(answer.body);
+                Ok((answer.parts, body, answer.endpoint))
+            }
+            Err(refusal) => forward::run_refused(node, &call, source, refusal).await,
+        },
         CallKind::Stream => match stream::run(node, call).await {
             Ok(StreamAnswer::Complete(parts, body, endpoint)) => {
                 Ok((parts, AnswerBody::complete(body), endpoint))
@@ -295,7 +304,7 @@
             Ok(StreamAnswer::Events(parts, chunks, endpoint)) => {
                 Ok((parts, AnswerBody::Chunks(chunks), endpoint))
             }
-            Err((_, refusal)) => Err(refusal),
+            Err((call, refusal)) => forward::run_refused(node, &call, source, refusal).await,
         },
     };
     match answered {
--- a/crates/fleet/src/endpoint_contact.rs
+++ b/crates/fleet/src/endpoint_contact.rs
@@ -4,7 +4,7 @@
 //! store and the other entries still reach it. Each failure alone looks like that of an
 //! endpoint. So failures at several endpoints without any answer between them count as the
 //! loss of this entry's own path. Endpoints that fall silent for a moment, or are lost
-//! together, don't: the others answer. See `docs/SYSTEM.md`.
+//! together, don't: the others answer. See `docs/decisions/0018-requests-through-peers.md`.
 
 use std::time::Duration;
 
@@ -15,6 +15,9 @@
 
 /// Endpoints that must fail, with no success between them; fewer if there are fewer.
 const MIN_FAILED: usize = 4;
+/// Endpoints that must fail for this entry to probe others: few requests would take long to
+/// show a lost path.
+const MIN_DOUBTED: usize = 2;
 /// Shortest time from the first of these failures to the last: events of several streams
 /// may be late together.
 const MIN_FAILURE_TIME: Duration = Duration::from_millis(200);
@@ -91,6 +94,13 @@
         enough && !std::mem::replace(&mut self.cut_off, true)
     }
 
+    /// Returns whether probes must show if the entry has lost its path.
+    #[must_use]
+    pub fn is_doubted(&self) -> bool {
+        let failed = self.unconnected.0.len().max(self.unanswered.0.len());
+        !self.cut_off && failed >= MIN_DOUBTED
+    }
+
     /// Returns whether the entry has lost its path to the endpoints.
     #[must_use]
     pub const fn is_cut_off(&self) -> bool {
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -43,6 +43,8 @@
     pub planning: bool,
     /// Whether the store accepts its calls, as far as it knows.
     pub reaches_store: bool,
+    /// Whether it has no way to the endpoints, and forwards requests to other entries.
+    pub cut_off: bool,
 }
 
 impl EntryStatus {
@@ -53,6 +55,7 @@
             | (self.synced as u8) << 1
             | (self.planning as u8) << 2
             | (self.reaches_store as u8) << 3
+            | (self.cut_off as u8) << 4
     }
 
     /// Returns the status of an entry from its bits.
@@ -64,6 +67,7 @@
             synced: bits & 2 != 0,
             planning: bits & 4 != 0,
             reaches_store: bits & 8 != 0,
+            cut_off: bits & 16 != 0,
         }
     }
 }
--- a/crates/fleet/tests/entries.rs
+++ b/crates/fleet/tests/entries.rs
@@ -28,6 +28,7 @@
         synced: true,
         planning,
         reaches_store: true,
+        cut_off: false,
     }
 }
 
--- a/crates/fleet/tests/membership/network.rs
+++ b/crates/fleet/tests/membership/network.rs
@@ -369,6 +369,7 @@
             synced: true,
             planning: self.planning,
             reaches_store: self.reaches_store,
+            cut_off: false,
         };
         let loads = (self.load > 0).then_some(EndpointLoad {
             key: ENDPOINT,
