Don't pass on an answer with an informational status

The status 000 of the issue, and 099, never reached a caller: they can't be parsed and count as a broken answer, 502.

Cause: any status that the parser accepts counted as a final answer.

Change: an informational one counts as a broken answer.

Result: 000, 099 and 101 give 502 for streams, safe and unsafe calls.

The test failed before with 101 instead of 502; with 000 and 099 it passed.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -380,7 +380,8 @@
 ///
 /// A response without the request's id may be an earlier one that came once more on a kept
 /// connection; it says nothing about this request, not even that it hasn't run. One without
-/// the endpoint's stamp may come from something else at the endpoint's address.
+/// the endpoint's stamp may come from something else at the endpoint's address. One with an
+/// informational status is no final answer.
 fn check_response(
     node: &Node,
     call: &Call,
@@ -418,6 +419,9 @@
         }
         return Err(AttemptError::NotRun(cause));
     }
+    if response.status().is_informational() {
+        return Err(AttemptError::MayHaveRun(RetryCause::Broken));
+    }
     let stamped = headers.contains_key(&names.stamp);
     let encoded = headers.contains_key(CONTENT_ENCODING);
     if encoded || (response.status().is_success() && !stamped) {
