Check the id of a forwarded request's answer, and remove its mark

A forwarded request reached the endpoint with the mark of the hop between entries, an entry of an older build would have answered it with a 404 that the caller got, and a repeatable call that may have run could be refused as not run if no peer was left.

Change: the listener for peers removes the mark; an answer without the request's id counts as none; a call that may have run keeps its refusal.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -42,9 +42,10 @@
     Peer,
 }
 
-/// Returns whether a request at the listener for peers is a forwarded one.
-pub(crate) fn is_forwarded(headers: &HeaderMap) -> bool {
-    headers.contains_key(&FORWARDED)
+/// Returns whether a request at the listener for peers is a forwarded one, and removes the
+/// mark, which endpoints must not receive.
+pub(crate) fn take_mark(headers: &mut HeaderMap) -> bool {
+    headers.remove(&FORWARDED).is_some()
 }
 
 /// Returns whether a call should go through a peer: this entry has no way to the endpoints,
@@ -129,10 +130,15 @@
         }
         _ => false,
     };
-    match may_go_on {
-        true => run(node, call).await,
-        false => Err(refusal),
+    if !may_go_on {
+        return Err(refusal);
     }
+    let answered = run(node, call).await;
+    // What may have run before can't be refused as not run.
+    answered.map_err(|later| match refusal {
+        Refusal::AnswerLost => refusal,
+        _ => later,
+    })
 }
 
 async fn send(
@@ -147,6 +153,11 @@
     let answered = tokio::time::timeout_at(limit, sent).await;
     let response = answered.unwrap_or(Err(ConnectionError::TimedOut))?;
     let (parts, body) = response.into_parts();
+    let id = parts.headers.get(&node.dialect.headers().request_id);
+    if !call.id.is_empty() && id != Some(&call.id) {
+        // An entry of a build that doesn't know forwarded requests.
+        return Err(ConnectionError::Incomplete("another id".to_owned()));
+    }
     Ok((parts, Forwarded::new(body, connection)))
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -135,12 +135,12 @@
 async fn answer(
     node: &Rc<Node>,
     role: ListenerRole,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match role {
         ListenerRole::Callers => answer_caller(node, request, RequestSource::Caller).await,
         ListenerRole::Local => answer_local(node, &request),
-        ListenerRole::Relay if forward::is_forwarded(request.headers()) => {
+        ListenerRole::Relay if forward::take_mark(request.headers_mut()) => {
             answer_caller(node, request, RequestSource::Peer).await
         }
         ListenerRole::Relay => {
