Keep a draining endpoint out of use until its incarnation ends

Cause: `draining` in a record held only until the next record that isn't older. What an answer says of leaving held for the incarnation; a record said the same thing with less effect. `is_older_than` can't decide between equal sequences.

Change: `Roster::is_leaving` also asks the last known record, listed or removed within the last 30 s, so both kinds of notice hold until the incarnation ends.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -5,7 +5,8 @@
 //! only after a grace period. A removal at any other time takes effect at once.
 //!
 //! Records may arrive late, and a store that returns from a copy has old ones. An older
-//! record says nothing. A record that was removed and is in the copy again may be that of an
+//! record says nothing, and an endpoint that has said that it leaves says so until its
+//! incarnation ends. A record that was removed and is in the copy again may be that of an
 //! endpoint that has left: it counts once its endpoint writes, or once it has outlived the
 //! lease of an endpoint that doesn't. See `docs/decisions/0017-eras-of-the-store.md`.
 
@@ -223,9 +224,10 @@
 
     /// Records that an incarnation of an endpoint has said that it leaves. Its records can't
     /// bring it back, because they may be older; a later incarnation starts anew. Returns
-    /// whether it wasn't known.
+    /// whether that is news, which it is also if only its record has said so.
     pub fn set_leaving(&mut self, id: &Name, incarnation: u64) -> bool {
-        if self.is_leaving(id, incarnation) {
+        let known = self.leaving.get(id);
+        if known.is_some_and(|i| incarnation <= *i) {
             return false;
         }
         if self.leaving.len() >= MAX_LEAVING {
@@ -240,10 +242,15 @@
         true
     }
 
-    /// Returns whether an incarnation of an endpoint has said that it leaves.
+    /// Returns whether an incarnation of an endpoint has said that it leaves, in its record or
+    /// in an answer.
     #[must_use]
     pub fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
-        self.leaving.get(id).is_some_and(|i| incarnation <= *i)
+        let known = self.get_or_unlisted(id);
+        let known = known.filter(|e| e.phase == EndpointPhase::Draining);
+        let announced = known.map(|e| e.incarnation);
+        let noticed = self.leaving.get(id).copied();
+        announced.max(noticed).is_some_and(|i| incarnation <= i)
     }
 
     /// Returns whether a leader's group has members in several fabric domains.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -235,6 +235,30 @@
     );
 }
 
+/// Guards against a record of the same incarnation that isn't older and says `ready`: a
+/// draining endpoint would get work again.
+#[test]
+fn a_later_record_brings_a_draining_endpoint_back() {
+    let mut roster = Roster::default();
+    roster.on_store_back(ms(0));
+    roster.put(written(8, EndpointPhase::Draining));
+    assert!(roster.is_leaving("vm-1", 1));
+    for sequence in [8, 9] {
+        roster.put(written(sequence, EndpointPhase::Ready));
+        assert_eq!(roster.of_service("engines").count(), 0);
+    }
+    assert!(roster.remove(ms(10_000), "vm-1"));
+    roster.put(written(10, EndpointPhase::Ready));
+    assert_eq!(roster.of_service("engines").count(), 0);
+    let next = Endpoint {
+        incarnation: 2,
+        ..written(1, EndpointPhase::Ready)
+    };
+    roster.put(next);
+    assert_eq!(roster.of_service("engines").count(), 1);
+    assert!(!roster.is_leaving("vm-1", 2));
+}
+
 /// Guards against work for an endpoint that has left without a notice and is in the copy
 /// again, and against one that is never used again although it lives.
 #[test]
