Ask the peers which endpoints leave before a starting entry uses its first list

Cause: the records of one endpoint are ordered against the newest one that an entry knows, and a process that has just started knows none. What the store holds is the write that it executed last.

Evidence: on the restarted entry logs `endpoint record`, added, ready, sequence 5, and the other one `endpoint record not newer` for the same revision.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,6 +46,7 @@
 mod settings;
 mod start;
 mod state;
+mod state_transfer;
 mod store;
 mod stream;
 mod sync;
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -177,18 +177,24 @@
     /// Takes an endpoint that leaves out of use, and tells the other entries. Its requests
     /// run on.
     pub(crate) fn on_departure(&self, departure: &Departure) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
+        if self.take_out(departure, "notice") {
+            let now = self.now();
+            let mut state = self.state.borrow_mut();
+            state.departures.push((departure.clone(), now));
+        }
+    }
+
+    /// Takes an endpoint that leaves out of use. Returns whether that wasn't known.
+    pub(crate) fn take_out(&self, departure: &Departure, source: &str) -> bool {
         let (id, incarnation) = (&departure.endpoint, departure.incarnation);
-        if !state.roster.set_leaving(id, incarnation) {
-            return;
+        if !self.state.borrow_mut().roster.set_leaving(id, incarnation) {
+            return false;
         }
-        state.departures.push((departure.clone(), now));
-        drop(state);
         self.pool.drop_endpoint(id);
         self.metrics.on_notice("leaving");
-        info!(self.log, "endpoint leaves"; "endpoint" => &**id, "born" => incarnation);
+        info!(self.log, "endpoint leaves"; "endpoint" => &**id, "born" => incarnation, "source" => source);
         self.planner_wake.notify_one();
+        true
     }
 
     /// Returns the departures to report to the other entries.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -42,7 +42,7 @@
 /// Time beyond the long poll within which the answer must begin.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
 /// Time within which a relay accepts a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 /// Largest body of an object that is relayed; larger ones are read from the store.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::quarantine::retry_after_s;
 use crate::relay::{FRESHNESS_MARGIN, RelayQuery, max_relayed_body};
 use crate::state::Phase;
+use crate::state_transfer;
 use crate::stream::StreamAnswer;
 use crate::{net, plain, stream};
 
@@ -162,6 +163,9 @@
 /// Answers an entry that follows this one, and counts the bytes by whether it is in the
 /// same data centre.
 async fn answer_follower(node: &Node, uri: &Uri) -> (StatusCode, Bytes) {
+    if uri.path() == state_transfer::PATH {
+        return (StatusCode::OK, state_transfer::answer(node));
+    }
     let target = uri.path_and_query().map_or("/", |t| t.as_str());
     let Some(query) = RelayQuery::parse(target) else {
         return (StatusCode::NOT_FOUND, Bytes::new());
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -24,6 +24,7 @@
 use crate::peers;
 use crate::records::{ListState, apply_change, apply_list, report_odd};
 use crate::relay::Origin;
+use crate::state_transfer;
 use crate::store::StoreError;
 
 /// Time without an entry to follow after which an entry goes to the store, in a deployment
@@ -288,7 +289,8 @@
             if !self.cursor.reset(listed.position) {
                 return Err(StoreError::HistoryGone);
             }
-            self.replace(listed.objects, listed.position, self.store_origin());
+            let origin = self.store_origin();
+            self.replace(listed.objects, listed.position, origin).await;
             return Ok(());
         };
         let connection = &mut self.connection;
@@ -335,9 +337,14 @@
         }
     }
 
-    /// Applies a complete list and keeps it for followers.
-    fn replace(&mut self, objects: Vec<StoredObject>, position: Position, origin: Origin) {
+    /// Applies a complete list and keeps it for followers. Before it uses the first list of
+    /// the endpoints, it asks its peers which of them leave.
+    async fn replace(&mut self, objects: Vec<StoredObject>, position: Position, origin: Origin) {
         let node = &self.node;
+        let leaving = match !self.listed && self.kind == ObjectKind::Endpoints {
+            true => state_transfer::fetch_departures(node).await,
+            false => Vec::new(),
+        };
         if self.listed {
             let source = origin.relay.as_deref().unwrap_or("store");
             info!(node.log, "listed anew"; "kind" => %self.kind, "source" => source, "position" => %position, "objects" => objects.len());
@@ -348,6 +355,9 @@
             false => ListState::Current,
         };
         apply_list(node, self.kind, position.era, list_state, objects);
+        for departure in &leaving {
+            node.take_out(departure, "peer");
+        }
         self.era = position.era;
         self.listed = true;
     }
--- a/crates/entry/src/sync/relayed.rs
+++ b/crates/entry/src/sync/relayed.rs
@@ -78,7 +78,7 @@
                 if self.cursor.next.is_none() {
                     let objects = changes.into_iter().filter_map(Change::into_put);
                     self.cursor.advance(position);
-                    self.replace(objects.collect(), position, origin);
+                    self.replace(objects.collect(), position, origin).await;
                 } else {
                     self.apply(changes, position, origin);
                 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry_budget;
 mod roster;
 mod stale_load;
+mod state_transfer;
 mod stop_plan;
 mod store_contact;
 mod timing;
@@ -67,6 +68,7 @@
 pub use retry_budget::{SharedRetryBudget, SharedRetryBudgetSettings};
 pub use roster::{Roster, RosterChange};
 pub use stale_load::{RequestTimes, SendsByUse, StaleView, published_request_time};
+pub use state_transfer::{PeerKnowledge, STATE_TRANSFER_TIMEOUT, StateTransfer};
 pub use stop_plan::StopPlan;
 pub use store_contact::StoreContact;
 pub use timing::{
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -252,6 +252,11 @@
         self.registry.len() - 1
     }
 
+    /// Returns the other entries that the store lists.
+    pub fn registered(&self) -> impl Iterator<Item = &EntryInfo> {
+        self.registry.others()
+    }
+
     /// Returns a registered entry.
     #[must_use]
     pub fn info(&self, key: u32) -> Option<&EntryInfo> {
--- a/crates/fleet/src/membership/messages.rs
+++ b/crates/fleet/src/membership/messages.rs
@@ -1,5 +1,7 @@
 //! The messages between entries.
 
+use serde::{Deserialize, Serialize};
+
 use super::loads::EndpointLoad;
 use crate::Name;
 use crate::named_limits::{MAX_ANNOUNCED, NamedLimit};
@@ -93,7 +95,8 @@
 }
 
 /// An incarnation of an endpoint that has said that it leaves.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Departure {
     /// Name of the endpoint.
     pub endpoint: Name,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -19,6 +19,7 @@
 
 use crate::Name;
 use crate::endpoint::{Endpoint, EndpointPhase, GroupState};
+use crate::membership::Departure;
 
 /// Time after the store's return within which endpoints renew expired records.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
@@ -253,6 +254,20 @@
         announced.max(noticed).is_some_and(|i| incarnation <= i)
     }
 
+    /// Returns the incarnations of endpoints that are known to leave.
+    pub fn departures(&self, now: Time) -> impl Iterator<Item = Departure> {
+        let listed = self.endpoints.values().chain(self.unlisted(now));
+        let announced = listed.filter(|e| e.phase == EndpointPhase::Draining);
+        let announced = announced.map(|e| (&e.id, e.incarnation));
+        let noticed = self.leaving.iter().map(|(id, i)| (id, *i));
+        let unlisted = noticed.filter(|(id, _)| self.get_or_unlisted(id).is_none());
+        let all = announced.chain(unlisted);
+        all.map(|(endpoint, incarnation)| Departure {
+            endpoint: endpoint.clone(),
+            incarnation,
+        })
+    }
+
     /// Returns whether a leader's group has members in several fabric domains.
     #[must_use]
     pub fn spans_domains(&self, leader: &Endpoint) -> bool {
