Send calls last to an endpoint whose record has come back after its removal

What callers saw: an endpoint that left without a report, and whose last heartbeat is executed after the removal of its record, gets calls from all entries again. Those that it has as it exits are lost.

Cause: the order of records compares with the last announced record, and heartbeats that change nothing else aren't announced, so the late one is newer than any known. A removal has no place in the endpoint's order.

Change: an endpoint of a plain service whose record has come back counts like a suspect one until it writes again, 11 s after the removal at most. Leaders are used as before.

Tried and reverted: no work at all for 5 s, leaders included.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -233,7 +233,7 @@
                 requests: self.batch(now, &endpoint.id).requests as u32,
                 slots: endpoint.slots,
                 local: &*endpoint.data_centre == data_centre,
-                suspect: health != Health::Alive,
+                suspect: health != Health::Alive || self.roster.has_returned(&endpoint.id),
                 tried: tried.contains(&endpoint.id),
             });
         }
--- a/crates/fleet/src/plain.rs
+++ b/crates/fleet/src/plain.rs
@@ -20,7 +20,7 @@
     pub slots: u32,
     /// Whether it is in this entry's data centre.
     pub local: bool,
-    /// Whether requests failed there recently.
+    /// Whether requests failed there recently, or it may have left.
     pub suspect: bool,
     /// Whether this call was sent there already.
     pub tried: bool,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -30,6 +30,10 @@
 /// expire there.
 const RESTORED_LEASE: Duration = Duration::from_secs(5);
 
+/// Time after the removal of a record within which a write of before may bring it back, and
+/// the record expires again: 6 s for the write and the lease of an endpoint that doesn't write.
+const LATE_RECORD_TIME: Duration = Duration::from_secs(11);
+
 /// Time for which an endpoint without a record may go on as a member of its group.
 const UNLISTED_TTL: Duration = Duration::from_secs(30);
 
@@ -64,6 +68,9 @@
     /// Endpoints whose record was removed, and when. One that is only cut off from the
     /// store goes on as a member of its group.
     unlisted: HashMap<Name, (Endpoint, Time)>,
+    /// Endpoints whose record has come back after its removal, and until when that may be a
+    /// late write of one that has left.
+    returned: HashMap<Name, Time>,
     evacuated: BTreeSet<Name>,
     /// Data centres that are out of service in a restored store, which take effect after the
     /// grace period.
@@ -103,8 +110,14 @@
             }
             if known.is_older_than(&endpoint) {
                 self.doubted.remove(&endpoint.id);
+                self.returned.remove(&endpoint.id);
             }
         }
+        let removed = self.unlisted.get(&endpoint.id);
+        if let Some((_, since)) = removed.filter(|(e, _)| e.incarnation == endpoint.incarnation) {
+            let until = *since + LATE_RECORD_TIME;
+            self.returned.insert(endpoint.id.clone(), until);
+        }
         if self.is_leaving(&endpoint.id, endpoint.incarnation) {
             endpoint.phase = EndpointPhase::Draining;
         }
@@ -262,6 +275,7 @@
     /// endpoints.
     pub fn apply_removals(&mut self, now: Time) -> Vec<Name> {
         self.doubted.retain(|_, until| now < *until);
+        self.returned.retain(|_, until| now < *until);
         if self.is_incomplete(now) || self.removals.is_empty() {
             return Vec::new();
         }
@@ -356,6 +370,13 @@
         self.doubted.contains_key(id)
     }
 
+    /// Returns whether an endpoint's record has come back after its removal and may be a late
+    /// write. Most such endpoints only lost the store for a while, so they may get work.
+    #[must_use]
+    pub fn has_returned(&self, id: &str) -> bool {
+        self.returned.contains_key(id)
+    }
+
     /// Returns the last records of the endpoints whose record was removed recently.
     pub fn unlisted(&self, now: Time) -> impl Iterator<Item = &Endpoint> {
         let recent = move |since: Time| now.since(since) < UNLISTED_TTL;
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -288,6 +288,36 @@
     );
 }
 
+/// Guards against an endpoint that has left without a report and whose last heartbeat the
+/// store executes late: it would look like any other. Also against one that only lost the
+/// store for a while and looks like that for good.
+#[test]
+fn a_late_record_of_a_removed_endpoint_looks_like_any_other() {
+    let mut roster = roster();
+    roster.on_store_back(ms(0));
+    assert!(!roster.has_returned("vm-1"));
+    assert!(roster.remove(ms(10_000), "vm-1"));
+    roster.put(written(9, EndpointPhase::Ready));
+    roster.put(written(9, EndpointPhase::Ready));
+    assert!(roster.has_returned("vm-1"));
+    assert_eq!(roster.of_service("engines").count(), 2, "it may get work");
+    roster.put(written(10, EndpointPhase::Ready));
+    assert!(!roster.has_returned("vm-1"), "it has written");
+    assert!(roster.remove(ms(20_000), "vm-1"));
+    roster.put(written(20, EndpointPhase::Ready));
+    roster.apply_removals(ms(30_900));
+    assert!(roster.has_returned("vm-1"));
+    roster.apply_removals(ms(31_000));
+    assert!(!roster.has_returned("vm-1"), "its lease was renewed");
+    assert!(roster.remove(ms(40_000), "vm-1"));
+    let next = Endpoint {
+        incarnation: 2,
+        ..written(1, EndpointPhase::Ready)
+    };
+    roster.put(next);
+    assert!(!roster.has_returned("vm-1"), "another incarnation");
+}
+
 #[test]
 fn a_successor_at_an_address_ends_no_run() {
     // Guards against a run whose end stays unknown because its successor has another name, or
