Store a new plan only while the planner reaches endpoints

What callers saw: an entry that loses its way to all endpoints and plans gives up groups that serve, in the 0.2 s before it counts as cut off, where connections are reset.

Cause: two failed probes of one VM make it silent after some 130 ms. Doubt about the entry's own path needs failures at two endpoints, the cut four and 200 ms.

Change: before the planner stores a plan, a failure that no endpoint has answered since is settled: a VM that isn't suspected is probed on a new connection. Without an answer the plan is held back until the next step. Costs nothing while nothing fails, and one probe for a plan while something does.

--- a/crates/entry/src/endpoint_contact.rs
+++ b/crates/entry/src/endpoint_contact.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bulrushhoist_fleet::{ContactFailure, Endpoint, Name};
+use bulrushhoist_fleet::{ContactFailure, Endpoint, Health, Name};
 use rand::seq::IteratorRandom as _;
 use slog::{info, warn};
 
 use crate::control::ControlConnections;
 use crate::node::Node;
+use crate::state::State;
 
 /// Pause between two probes while it is in doubt whether this entry is cut off.
 const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(50);
@@ -34,6 +35,20 @@
         }
     }
 
+    /// Returns whether this entry reaches the endpoints. While a failure may be its own, an
+    /// endpoint that hasn't failed is probed.
+    pub(crate) async fn reaches_endpoints(&self) -> bool {
+        let now = self.now();
+        if !self.state.borrow().endpoint_contact.has_open_failure(now) {
+            return true;
+        }
+        let reached = probe_alive(self).await.is_some();
+        if reached {
+            self.state.borrow_mut().endpoint_contact.on_reached();
+        }
+        reached
+    }
+
     /// Returns whether this entry has no way to the endpoints.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.state.borrow().endpoint_contact.is_cut_off()
@@ -70,7 +85,28 @@
 
 /// Probes a random endpoint, and returns it if it answers.
 async fn probe_any(node: &Node) -> Option<Endpoint> {
-    let endpoint = any_endpoint(node)?;
+    probe(node, any_endpoint(node)?).await
+}
+
+/// Probes a random endpoint that isn't suspected, or any if all are, and returns it if it
+/// answers.
+async fn probe_alive(node: &Node) -> Option<Endpoint> {
+    let alive = {
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        let State {
+            roster,
+            monitor,
+            rng,
+            ..
+        } = &mut *state;
+        let alive = |e: &&Endpoint| monitor.health(now, &e.id, e.incarnation) == Health::Alive;
+        roster.iter().filter(alive).choose(rng).cloned()
+    };
+    probe(node, alive.or_else(|| any_endpoint(node))?).await
+}
+
+async fn probe(node: &Node, endpoint: Endpoint) -> Option<Endpoint> {
     // A connection from before the cut may live on, so each probe has its own.
     let connections = ControlConnections::default();
     let answered = connections.probe(node, &endpoint).await;
--- a/crates/entry/src/groups.rs
+++ b/crates/entry/src/groups.rs
@@ -195,9 +195,18 @@
             stored = self.recover(&catalog, stored).await?;
         }
         self.probe(&stored.plan);
+        let mut has_contact = false;
         for service in catalog.services().filter(|s| s.engine.is_some()) {
             loop {
                 match self.step(&catalog, &service.name, &stored.plan) {
+                    PlannerAction::Store(_) if !has_contact => {
+                        // The failures that call for another plan may be this entry's own.
+                        if !self.node.reaches_endpoints().await {
+                            info!(self.node.log, "plan held back"; "epoch" => stored.plan.epoch);
+                            return Some(stored);
+                        }
+                        has_contact = true;
+                    }
                     PlannerAction::Store(plan) => stored = self.store(stored, plan).await?,
                     PlannerAction::Reread => {
                         info!(self.node.log, "plan is outdated"; "epoch" => stored.plan.epoch);
--- a/crates/fleet/src/endpoint_contact.rs
+++ b/crates/fleet/src/endpoint_contact.rs
@@ -94,6 +94,14 @@
         enough && !std::mem::replace(&mut self.cut_off, true)
     }
 
+    /// Returns whether an endpoint failed recently and none has answered since, so that the
+    /// failure may be this entry's.
+    #[must_use]
+    pub fn has_open_failure(&self, now: Time) -> bool {
+        let all = self.unconnected.0.iter().chain(&self.unanswered.0);
+        all.into_iter().any(|(_, at)| now.since(*at) < FAILURE_TTL)
+    }
+
     /// Returns whether probes must show if the entry has lost its path.
     #[must_use]
     pub fn is_doubted(&self) -> bool {
--- a/crates/fleet/tests/endpoint_contact.rs
+++ b/crates/fleet/tests/endpoint_contact.rs
@@ -74,3 +74,19 @@
     }
     assert!(!contact.is_cut_off(), "one after the other ends");
 }
+
+/// Guards against a planner that acts on the first failure after its path was lost, and
+/// against one that waits for an endpoint that is lost itself.
+#[test]
+fn a_failure_counts_as_an_endpoints_before_another_has_answered() {
+    for failure in [Unconnected, Unanswered] {
+        let mut contact = EndpointContact::default();
+        assert!(!contact.has_open_failure(ms(0)));
+        contact.on_failure(ms(0), &name(0), failure, 48);
+        assert!(contact.has_open_failure(ms(1_900)));
+        assert!(!contact.has_open_failure(ms(2_000)), "it says nothing now");
+        contact.on_failure(ms(3_000), &name(0), failure, 48);
+        contact.on_reached();
+        assert!(!contact.has_open_failure(ms(3_001)));
+    }
+}
