Refuse waiting requests that can't end before a stopping process does

Cause: the queue of a latency-critical service keeps a request for as long as it can end by its deadline, and doesn't know that the process ends before.

Evidence: on eight `request abandoned` at `stopped` with cut_off 8, no send.

Change: while an entry stops, a request that waits must be able to end, by its expected run time, 0.1 s before the exit. One that can't is refused as soon as that is known, as `stopping` with `Retry-After: 0`, since another entry may serve it.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -157,6 +157,15 @@
         !plan.takes(self.now().since(since), end.since(since))
     }
 
+    /// Returns the time by which a request that waits for a leader must end, if this entry
+    /// stops.
+    pub(crate) fn last_end(&self) -> Option<Time> {
+        let Phase::Leaving { since } = self.state.borrow().phase else {
+            return None;
+        };
+        Some(since + StopPlan::within(self.bounds.get().grace).last_end())
+    }
+
     /// Suspects an endpoint after a request failed or stalled there.
     pub(crate) fn suspect(&self, endpoint: &Name, incarnation: u64, cause: &str) {
         let now = self.now();
@@ -215,12 +224,18 @@
     /// Wakes queued requests that can start now, and refuses those that can't start in time.
     pub(crate) fn advance_queues(&self) {
         let now = self.now();
+        let last_end = self.last_end();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut queues = std::mem::take(&mut state.queues);
         for (key, queue) in &mut queues {
             let first = queue.expected_first();
-            for request in queue.waiting.take_unservable(now, first) {
+            let mut refused = queue.waiting.take_unservable(now, first);
+            if let Some(last_end) = last_end {
+                let start = now + state.wait_for_leader(now, &self.settings.data_centre, key);
+                refused.extend(queue.waiting.take_ending_after(start, last_end));
+            }
+            for request in refused {
                 if let Some(waker) = queue.wakers.remove(&request.id) {
                     // Fails if the caller has disconnected in the meantime.
                     let _ = waker.send(Wake::Refuse);
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -62,10 +62,11 @@
     }
 
     /// Returns what the caller is told if no further attempt is possible for `reason`. A
-    /// pause or limit of the other endpoints says when to come back, as long as nothing has run.
+    /// pause or limit of the other endpoints, or a stop of this entry, says when to come back, as
+    /// long as nothing has run.
     pub(crate) const fn without_retry(self, reason: Self) -> Self {
         match (self, reason) {
-            (Self::EndpointRefused, Self::Paused | Self::Limited) => reason,
+            (Self::EndpointRefused, Self::Paused | Self::Limited | Self::Stopping) => reason,
             _ => self,
         }
     }
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -5,7 +5,7 @@
 
 use bulrushhoist_core::Time;
 use bulrushhoist_fleet::{
-    Discipline, Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit, StartClass,
+    Discipline, Endpoint, LeaderChoice, Name, QueuedRequest, SlotLimit, StartClass, Work,
     expected_run_time, name_key,
 };
 use smallvec::SmallVec;
@@ -56,6 +56,7 @@
         if now >= call.deadline {
             return Err(Refusal::TimedOut);
         }
+        let last_end = node.last_end();
         let (id, waiter, latest_start) = {
             let mut state = node.state.borrow_mut();
             let queue = state.queue(&key);
@@ -79,6 +80,10 @@
                 true => call.deadline,
                 false => call.objective(),
             };
+            let wait = shortest_wait(&placed);
+            if wait.is_some_and(|wait| last_end.is_some_and(|end| now + wait + request.run > end)) {
+                return Err(Refusal::Stopping);
+            }
             let may_pause = |time| match discipline {
                 Discipline::EarliestFirst => now + time + first <= call.deadline,
                 Discipline::OnTimeFirst => now + time <= latest_start,
@@ -136,6 +141,7 @@
         drop(guard);
         granted = match outcome {
             Ok(Ok(Wake::Start(slot_limit))) => Some(slot_limit),
+            Ok(_) if node.last_end().is_some() => return Err(Refusal::Stopping),
             Ok(_) => return Err(Refusal::WaitedOut),
             Err(_) if latest_start < call.deadline => return Err(Refusal::WaitedOut),
             Err(_) => return Err(Refusal::TimedOut),
@@ -193,6 +199,24 @@
     }
 }
 
+/// Returns the time before which no leader takes a request, if one must wait.
+fn shortest_wait(choice: &LeaderChoice) -> Option<Duration> {
+    match choice {
+        LeaderChoice::Paused(time) | LeaderChoice::Limited(time) => Some(*time),
+        LeaderChoice::Full => Some(Duration::ZERO),
+        LeaderChoice::Leader(..) | LeaderChoice::Unavailable => None,
+    }
+}
+
+impl State {
+    /// Returns the time before which no leader of a model takes a request.
+    pub(crate) fn wait_for_leader(&mut self, now: Time, centre: &str, key: &ModelKey) -> Duration {
+        let limit = SlotLimit::All;
+        let placed = self.choose_leader(now, centre, key, Work::default(), limit, &[]);
+        shortest_wait(&placed).unwrap_or_default()
+    }
+}
+
 /// Advances the queues once this task waits. By then the request that it starts has counted
 /// itself in its leader's load.
 fn advance_soon(node: &Rc<Node>) {
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -365,6 +365,11 @@
         self.take(|r| refused.contains(&r.id))
     }
 
+    /// Removes and returns the requests that would end after `end` if they started at `start`.
+    pub fn take_ending_after(&mut self, start: Time, end: Time) -> Vec<QueuedRequest> {
+        self.take(|r| start + r.run > end)
+    }
+
     /// Removes and returns the requests that have waited for the fraction of their time
     /// that the settings allow.
     pub fn take_overdue(&mut self, now: Time) -> Vec<QueuedRequest> {
--- a/crates/fleet/src/stop_plan.rs
+++ b/crates/fleet/src/stop_plan.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Returns the time by which a request must end that still waits for an endpoint. One that
+    /// can't is refused, since it would be cut off.
+    #[must_use]
+    pub fn last_end(&self) -> Duration {
+        self.exit - ANSWER_TIME
+    }
+
     /// Returns whether a request is taken that arrives, and ends at the latest, at these times.
     #[must_use]
     pub fn takes(&self, arrival: Duration, deadline: Duration) -> bool {
--- a/crates/fleet/tests/stop_plan.rs
+++ b/crates/fleet/tests/stop_plan.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use bulrushhoist_fleet::StopPlan;
+use bulrushhoist_core::Time;
+use bulrushhoist_fleet::{QueuedRequest, RequestQueue, StopPlan};
 use proptest::prelude::{prop_assert, proptest};
 
 proptest! {
@@ -34,3 +35,33 @@
     assert_eq!(plan.close, Duration::from_millis(3_500));
     assert_eq!(plan.exit, Duration::from_millis(7_300));
 }
+
+/// Guards against waiting requests that are cut off with the process, or refused though they
+/// would end before it.
+#[test]
+fn a_waiting_request_is_kept_beyond_the_exit() {
+    let second = Duration::from_secs(1);
+    let plan = StopPlan::within(second * 8);
+    assert!(plan.last_end() < plan.exit && plan.exit - plan.last_end() < second);
+    let request = |id: u64, run: Duration| QueuedRequest {
+        id,
+        priority: 0,
+        team: 0,
+        received: Time::ZERO,
+        objective: Time::ZERO + second,
+        deadline: Time::ZERO + second * 20,
+        run,
+    };
+    let mut queue = RequestQueue::default();
+    for (id, run) in [(1, second), (2, second * 4), (3, Duration::ZERO)] {
+        assert!(queue.enqueue(Time::ZERO, request(id, run)).is_ok());
+    }
+    let end = Time::ZERO + plan.last_end();
+    let ids = |taken: Vec<QueuedRequest>| -> Vec<u64> { taken.iter().map(|r| r.id).collect() };
+    assert!(ids(queue.take_ending_after(Time::ZERO, end)).is_empty());
+    assert_eq!(
+        ids(queue.take_ending_after(Time::ZERO + second * 4, end)),
+        [2]
+    );
+    assert_eq!(ids(queue.take_ending_after(end, end)), [1]);
+}
