Tell a stop from an overload when a waiting request is refused

Change: the queue wakes these with a value of their own; only they say `stopping`. Names: an endpoint that leaves is retired.

Measured: the tests of entry, fleet, planned_stop, late_records and overload pass. No test of its own: the refusal by overload within a stop is timing-dependent on the real program.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -230,16 +230,12 @@
         let mut queues = std::mem::take(&mut state.queues);
         for (key, queue) in &mut queues {
             let first = queue.expected_first();
-            let mut refused = queue.waiting.take_unservable(now, first);
+            let refused = queue.waiting.take_unservable(now, first);
+            queue.wake(&refused, Wake::Refuse);
             if let Some(last_end) = last_end {
                 let start = now + state.wait_for_leader(now, &self.settings.data_centre, key);
-                refused.extend(queue.waiting.take_ending_after(start, last_end));
-            }
-            for request in refused {
-                if let Some(waker) = queue.wakers.remove(&request.id) {
-                    // Fails if the caller has disconnected in the meantime.
-                    let _ = waker.send(Wake::Refuse);
-                }
+                let stopped = queue.waiting.take_ending_after(start, last_end);
+                queue.wake(&stopped, Wake::Stop);
             }
             if self.wake_resuming(now, state, key, &mut queue.resuming) {
                 // It counts itself in the leader's load before another is woken.
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -177,7 +177,7 @@
     /// Takes an endpoint that leaves out of use, and tells the other entries. Its requests
     /// run on.
     pub(crate) fn on_departure(&self, departure: &Departure) {
-        if self.take_out(departure, "notice") {
+        if self.retire_endpoint(departure, "notice") {
             let now = self.now();
             let mut state = self.state.borrow_mut();
             state.departures.push((departure.clone(), now));
@@ -185,7 +185,7 @@
     }
 
     /// Takes an endpoint that leaves out of use. Returns whether that wasn't known.
-    pub(crate) fn take_out(&self, departure: &Departure, source: &str) -> bool {
+    pub(crate) fn retire_endpoint(&self, departure: &Departure, source: &str) -> bool {
         let (id, incarnation) = (&departure.endpoint, departure.incarnation);
         if !self.state.borrow_mut().roster.set_leaving(id, incarnation) {
             return false;
--- a/crates/entry/src/queues.rs
+++ b/crates/entry/src/queues.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Discipline, FirstEventLatency, Name, RequestQueue, SlotLimit, Work};
+use bulrushhoist_fleet::{
+    Discipline, FirstEventLatency, Name, QueuedRequest, RequestQueue, SlotLimit, Work,
+};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
@@ -18,6 +20,8 @@
     Start(SlotLimit),
     /// It is refused.
     Refuse,
+    /// It is refused because this entry stops before it would end.
+    Stop,
 }
 
 /// Requests that wait for a free slot at a leader of one model.
@@ -32,6 +36,16 @@
 }
 
 impl ModelQueue {
+    /// Wakes requests that have been removed from the queue.
+    pub(crate) fn wake(&mut self, requests: &[QueuedRequest], wake: Wake) {
+        for request in requests {
+            if let Some(waker) = self.wakers.remove(&request.id) {
+                // Fails if the caller has disconnected in the meantime.
+                let _ = waker.send(wake);
+            }
+        }
+    }
+
     /// Returns whether a begun stream or a queued request goes before a new request. `late`
     /// says whether the new one is late.
     pub(crate) fn has_ahead(&self, now: Time, first: Duration, late: bool) -> bool {
--- a/crates/entry/src/state_transfer.rs
+++ b/crates/entry/src/state_transfer.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use bulrushhoist_core::Time;
-use bulrushhoist_fleet::{Departure, PeerKnowledge, StateTransfer};
+use bulrushhoist_fleet::{Departure, PeerKnowledge, STATE_TRANSFER_TIMEOUT, StateTransfer};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
@@ -98,7 +98,7 @@
     request
         .headers_mut()
         .insert(HOST, HeaderValue::from_static("state"));
-    let limit = bulrushhoist_fleet::STATE_TRANSFER_TIMEOUT;
+    let limit = STATE_TRANSFER_TIMEOUT;
     let answered = connection.fetch(request, limit, MAX_ANSWER_BYTES).await;
     let (status, body) = answered.ok()?;
     let body = (status == StatusCode::OK).then_some(body)?;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -356,7 +356,7 @@
         };
         apply_list(node, self.kind, position.era, list_state, objects);
         for departure in &leaving {
-            node.take_out(departure, "peer");
+            node.retire_endpoint(departure, "peer");
         }
         self.era = position.era;
         self.listed = true;
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -141,7 +141,7 @@
         drop(guard);
         granted = match outcome {
             Ok(Ok(Wake::Start(slot_limit))) => Some(slot_limit),
-            Ok(_) if node.last_end().is_some() => return Err(Refusal::Stopping),
+            Ok(Ok(Wake::Stop)) => return Err(Refusal::Stopping),
             Ok(_) => return Err(Refusal::WaitedOut),
             Err(_) if latest_start < call.deadline => return Err(Refusal::WaitedOut),
             Err(_) => return Err(Refusal::TimedOut),
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -8,7 +8,9 @@
 //! record says nothing, and an endpoint that has said that it leaves says so until its
 //! incarnation ends. A record that was removed and is in the copy again may be that of an
 //! endpoint that has left: it counts once its endpoint writes, or once it has outlived the
-//! lease of an endpoint that doesn't. See `docs/decisions/0017-eras-of-the-store.md`.
+//! lease of an endpoint that doesn't. One that comes back at another time is mostly that of an
+//! endpoint that was cut off from the store, so it only counts as less certain than others. See
+//! `docs/decisions/0017-eras-of-the-store.md`.
 
 mod index;
 
